--- /dev/null
+++ b/packages/document/src/layouts.ts
@@ -0,0 +1,140 @@
+/**
+ * The two deployments of the brief ("Sizes of today"), as data: regions,
+ * failure domains, services and their upstreams. The demo, the bench and the
+ * tests build stand-ins and operators' documents from these.
+ */
+import type { DocumentInput } from './schema';
+
+/** A service as deployed: how many upstreams, how many slots each, how it behaves. */
+export interface ServiceLayout {
+  name: string;
+  idempotent: boolean;
+  upstreams: number;
+  slots: number;
+  /** Typical time a warm upstream needs for one request, in milliseconds. */
+  serviceMs: number;
+  /** Size of one answer in bytes; inspection bundles and briefings are large. */
+  answerBytes: number;
+  deadlineMs: number;
+}
+
+/** A deployment: regions with their failure domains, and services. */
+export interface Layout {
+  name: string;
+  regions: { name: string; failureDomains: string[] }[];
+  services: ServiceLayout[];
+  /** One-way delay between regions, in milliseconds. */
+  regionDelayMs: number;
+}
+
+/** Hraunvídd Viðhald: status lookups, visit bookings, inspection bundles. */
+export const hraunvidd: Layout = {
+  name: 'hraunvidd',
+  regionDelayMs: 20,
+  regions: [
+    { name: 'reykjavik', failureDomains: ['rvk-a', 'rvk-b'] },
+    { name: 'akureyri', failureDomains: ['aey-a', 'aey-b'] },
+    { name: 'egilsstadir', failureDomains: ['egs-a', 'egs-b'] },
+  ],
+  services: [
+    {
+      name: 'stada',
+      idempotent: true,
+      upstreams: 16,
+      slots: 9,
+      serviceMs: 4,
+      answerBytes: 600,
+      deadlineMs: 1500,
+    },
+    {
+      name: 'boka',
+      idempotent: false,
+      upstreams: 12,
+      slots: 7,
+      serviceMs: 15,
+      answerBytes: 300,
+      deadlineMs: 3000,
+    },
+    {
+      name: 'skjalasafn',
+      idempotent: true,
+      upstreams: 12,
+      slots: 3,
+      serviceMs: 40,
+      answerBytes: 256 * 1024,
+      deadlineMs: 30000,
+    },
+  ],
+};
+
+/** Waitaha Regional Water and Power Authority: kiosk lookups, arrivals, briefings. */
+export const waitaha: Layout = {
+  name: 'waitaha',
+  regionDelayMs: 12,
+  regions: [
+    { name: 'waikato', failureDomains: ['hamilton-a', 'hamilton-b'] },
+    { name: 'canterbury', failureDomains: ['christchurch-a', 'christchurch-b'] },
+    { name: 'otago', failureDomains: ['dunedin-a', 'dunedin-b'] },
+  ],
+  services: [
+    {
+      name: 'roster',
+      idempotent: true,
+      upstreams: 18,
+      slots: 3,
+      serviceMs: 4,
+      answerBytes: 400,
+      deadlineMs: 1000,
+    },
+    {
+      name: 'gatebook',
+      idempotent: false,
+      upstreams: 12,
+      slots: 3,
+      serviceMs: 10,
+      answerBytes: 200,
+      deadlineMs: 2000,
+    },
+    {
+      name: 'briefcase',
+      idempotent: true,
+      upstreams: 12,
+      slots: 3,
+      serviceMs: 30,
+      answerBytes: 128 * 1024,
+      deadlineMs: 20000,
+    },
+  ],
+};
+
+/** Both layouts by name. */
+export const layouts: Readonly<Record<string, Layout>> = { hraunvidd, waitaha };
+
+/** Failure domain of the n-th upstream: upstreams are spread round-robin. */
+export const upstreamDomain = (
+  layout: Layout,
+  index: number,
+): { region: string; failureDomain: string } => {
+  const domains = layout.regions.flatMap((r) =>
+    r.failureDomains.map((fd) => ({ region: r.name, failureDomain: fd })),
+  );
+  return domains[index % domains.length];
+};
+
+/** An operators' document for the layout with equal shares for every region. */
+export const layoutDocument = (layout: Layout, revision = 1): DocumentInput => ({
+  revision,
+  regions: layout.regions.map((r) => ({
+    name: r.name,
+    failureDomains: r.failureDomains,
+    reserve: 0.15,
+  })),
+  services: layout.services.map((s) => ({
+    name: s.name,
+    idempotent: s.idempotent,
+    deadlineMs: s.deadlineMs,
+    maxShiftPerMinute: 0.2,
+    warmupSeconds: 10,
+    shares: Object.fromEntries(layout.regions.map((r) => [r.name, 1])),
+  })),
+});
--- /dev/null
+++ b/packages/http-json/src/server.ts
@@ -0,0 +1,61 @@
+/**
+ * Reading and writing JSON bodies on Node `http` servers.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** Largest JSON body accepted: the platform holds values up to a megabyte, plus framing. */
+export const MAX_JSON_BYTES = 1_200_000;
+
+/** Raised by `readJson` for a body that is too large or not JSON. */
+export class BodyError extends Error {
+  constructor(
+    readonly status: 400 | 413,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+/** Reads the request body as JSON; rejects with `BodyError` when it is too large or malformed. */
+export const readJson = (req: IncomingMessage, limit = MAX_JSON_BYTES): Promise<unknown> =>
+  new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > limit) {
+        reject(new BodyError(413, `body is over ${limit} bytes; send a smaller one`));
+        req.destroy();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    req.on('end', () => {
+      if (size === 0) {
+        resolve(undefined);
+        return;
+      }
+      try {
+        resolve(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+      } catch {
+        reject(new BodyError(400, 'body is not JSON; send a JSON object'));
+      }
+    });
+    req.on('error', reject);
+  });
+
+/** Sends `body` as JSON with the given status. */
+export const sendJson = (
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Record<string, string> = {},
+): void => {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
+};
--- /dev/null
+++ b/packages/member-list/src/server/standin.ts
@@ -0,0 +1,64 @@
+/**
+ * The member-list stand-in. Targets announce themselves with
+ * `PUT /v1/members/:id` and leave with a `state: leaving` update or
+ * `DELETE`; readers get a snapshot taken every `lagMs`, so they see changes
+ * late, as on the platform.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { readJson, sendJson } from '@cardamomladder/http-json';
+import type { Member, MembersReply } from '../protocol';
+
+/** A mounted member-list stand-in. */
+export interface MemberListStandin {
+  /** The list as targets last told it, before the lag. */
+  current: Map<string, Member>;
+  /** Handles the request if it is for `/v1/members`; false otherwise. */
+  handle: (req: IncomingMessage, res: ServerResponse) => boolean;
+  /** Requests served, for the capacity bench. */
+  reads: () => number;
+  stop: () => void;
+}
+
+/** Creates the stand-in; `lagMs` is how stale the published list may be. */
+export const createMemberListStandin = (lagMs = 1000): MemberListStandin => {
+  const current = new Map<string, Member>();
+  let published: MembersReply = { members: [], asOf: Date.now() };
+  let served = 0;
+  const publish = () => {
+    published = { members: [...current.values()], asOf: Date.now() };
+  };
+  const timer = setInterval(publish, lagMs);
+  timer.unref();
+
+  const route = async (req: IncomingMessage, res: ServerResponse, path: string) => {
+    const id = /^\/v1\/members\/([^/]+)$/.exec(path)?.[1];
+    if (path === '/v1/members' && req.method === 'GET') {
+      served += 1;
+      sendJson(res, 200, published);
+      return;
+    }
+    if (id && req.method === 'PUT') {
+      const member = (await readJson(req)) as Member;
+      current.set(decodeURIComponent(id), { ...member, id: decodeURIComponent(id) });
+      sendJson(res, 200, { ok: true });
+      return;
+    }
+    if (id && req.method === 'DELETE') {
+      current.delete(decodeURIComponent(id));
+      sendJson(res, 200, { ok: true });
+      return;
+    }
+    sendJson(res, 404, { error: `no route ${req.method} ${path}` });
+  };
+
+  const handle = (req: IncomingMessage, res: ServerResponse): boolean => {
+    const path = new URL(req.url ?? '/', 'http://standin').pathname;
+    if (!path.startsWith('/v1/members')) return false;
+    route(req, res, path).catch((error: Error & { status?: number }) => {
+      if (!res.headersSent) sendJson(res, error.status ?? 500, { error: error.message });
+    });
+    return true;
+  };
+
+  return { current, handle, reads: () => served, stop: () => clearInterval(timer) };
+};
--- /dev/null
+++ b/packages/platform-kv/src/index.ts
@@ -0,0 +1,19 @@
+export type {
+  ConflictReply,
+  Faults,
+  GetReply,
+  KvItem,
+  LeaseReply,
+  ListReply,
+  PutReply,
+  StatsReply,
+  WatchReply,
+} from './protocol';
+export type { KvClient, KvClientOptions } from './client/kvClient';
+export { createKvClient } from './client/kvClient';
+export type { WatchOptions, WatchUpdate } from './client/watch';
+export { watchPrefix } from './client/watch';
+export type { KvStandin } from './server/standin';
+export { createKvStandin } from './server/standin';
+export type { WriteOutcome } from './server/store';
+export { KvStore } from './server/store';
--- /dev/null
+++ b/packages/types/src/ids.ts
@@ -0,0 +1,47 @@
+/**
+ * Branded ids. A brand keeps a service name from being passed where a
+ * failure domain is expected; the compiler rejects the mix-up, and the
+ * brand costs nothing at run time.
+ */
+declare const brand: unique symbol;
+
+/** A string or number tagged with the name of what it identifies. */
+export type Brand<T, Name extends string> = T & { readonly [brand]: Name };
+
+/** A service in the operators' document, such as `stada` or `gatebook`. */
+export type ServiceName = Brand<string, 'ServiceName'>;
+/** A region, such as `akureyri` or `canterbury`. */
+export type RegionName = Brand<string, 'RegionName'>;
+/** A failure domain, such as `rvk-a` or `christchurch-b`. */
+export type FailureDomainName = Brand<string, 'FailureDomainName'>;
+/** One upstream (target instance) of a service, unique across the fleet. */
+export type TargetId = Brand<string, 'TargetId'>;
+/** One entry instance of cardamomladder, unique across the fleet. */
+export type EntryId = Brand<string, 'EntryId'>;
+/** A revision of the operators' document; only ever grows. */
+export type DocumentRevision = Brand<number, 'DocumentRevision'>;
+/** A key in the platform key-value service. */
+export type KvKey = Brand<string, 'KvKey'>;
+/** A lease granted by the platform key-value service. */
+export type LeaseId = Brand<string, 'LeaseId'>;
+/** A caller's idempotency key for a non-idempotent request. */
+export type RequestKey = Brand<string, 'RequestKey'>;
+
+/** Tags a plain string as a service name; no check is made. */
+export const serviceName = (value: string): ServiceName => value as ServiceName;
+/** Tags a plain string as a region name; no check is made. */
+export const regionName = (value: string): RegionName => value as RegionName;
+/** Tags a plain string as a failure domain name; no check is made. */
+export const failureDomainName = (value: string): FailureDomainName => value as FailureDomainName;
+/** Tags a plain string as a target id; no check is made. */
+export const targetId = (value: string): TargetId => value as TargetId;
+/** Tags a plain string as an entry id; no check is made. */
+export const entryId = (value: string): EntryId => value as EntryId;
+/** Tags a number as a document revision; no check is made. */
+export const documentRevision = (value: number): DocumentRevision => value as DocumentRevision;
+/** Tags a plain string as a key in the platform KV; no check is made. */
+export const kvKey = (value: string): KvKey => value as KvKey;
+/** Tags a plain string as a lease id; no check is made. */
+export const leaseId = (value: string): LeaseId => value as LeaseId;
+/** Tags a plain string as a caller's idempotency key; no check is made. */
+export const requestKey = (value: string): RequestKey => value as RequestKey;
--- /dev/null
+++ b/scripts/summary.mjs
@@ -0,0 +1,17 @@
+// Prints the closing line CI reads: "N passed, N failed" (", N skipped").
+// vitest's own summary is boxed and not in the form CI recognises.
+import { readFileSync } from 'node:fs';
+
+const file = process.argv[2] ?? '.vitest-results.json';
+let results;
+try {
+  results = JSON.parse(readFileSync(file, 'utf8'));
+} catch (error) {
+  console.log(`summary: no results in ${file} (${error.message})`);
+  console.log('0 passed, 1 failed');
+  process.exit(1);
+}
+const passed = results.numPassedTests ?? 0;
+const failed = (results.numFailedTests ?? 0) + (results.numFailedTestSuites ?? 0);
+const skipped = (results.numPendingTests ?? 0) + (results.numTodoTests ?? 0);
+console.log(`${passed} passed, ${failed} failed${skipped ? `, ${skipped} skipped` : ''}`);
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/src/**/__tests__/**/*.test.ts'],
+    testTimeout: 30_000,
+    hookTimeout: 30_000,
+    pool: 'forks',
+  },
+});
