Thin whole path: entry daemon, target stand-ins, console apply, load tool, demo

Change: steering (split per region under the shift cap, time-based planned shift schedule shared by all entries, headroom from load reports that decay toward 'full' when they stop, power-of-two target choice with slow start), targets (forwarding attempt with not-run / answer / unknown outcomes; fresh connection for non-idempotent calls; upstream stand-in with slots, queue, shedding, cold cache, deadlines, cancellation, lagging load endpoint, drain), entry (config follower applying only higher revisions, lease-based registration for callers, member polling, idempotency-key dedup, retry budget, graceful stop), console (CAS apply from the operator's base revision, lost-reply resolution by read-back), load (closed-loop callers with HDR histograms), cli (cac: entry, console, standin, load, demo), bundle to dist/cardamomladder.cjs with esbuild.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,6 +24,7 @@
   ...configs.node.recommended,
   ...configs.base.typescript,
   {
+    settings: { node: { version: '>=20.19.0' } },
     languageOptions: {
       parserOptions: {
         projectService: { allowDefaultProject: ['*.mjs', 'scripts/*.mjs'] },
@@ -64,6 +65,14 @@
       'n/no-process-exit': 'off',
       'no-console': 'off',
       'max-classes-per-file': 'off',
+      // Steering views and http messages are updated in place by design.
+      'no-param-reassign': [
+        'error',
+        {
+          props: true,
+          ignorePropertyModificationsFor: ['target', 'res', 'req', 'known', 'faults'],
+        },
+      ],
     },
   },
   {
--- /dev/null
+++ b/packages/cli/src/commands/standin.ts
@@ -0,0 +1,74 @@
+/** `cardamomladder standin platform|target`: the stand-ins for the platform and for targets. */
+import { createMemberClient, createMemberListStandin } from '@cardamomladder/member-list';
+import { startPlatformStandin } from '@cardamomladder/platform-kv';
+import type { Upstream } from '@cardamomladder/targets';
+import { startUpstream } from '@cardamomladder/targets';
+import { enableLogs } from '@cardamomladder/telemetry';
+
+const untilSignal = () =>
+  new Promise<void>((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+
+/** Runs the platform stand-in (KV and member list) until a signal. */
+export const platformCommand = async (options: {
+  host: string;
+  port: number;
+  memberLagMs: number;
+}): Promise<number> => {
+  enableLogs(process.env.DEBUG ?? 'cardamomladder:*,-cardamomladder:trace');
+  const members = createMemberListStandin(options.memberLagMs);
+  const platform = await startPlatformStandin({
+    host: options.host,
+    port: options.port,
+    handlers: [members.handle],
+  });
+  console.log(JSON.stringify({ url: platform.url }));
+  await untilSignal();
+  members.stop();
+  await platform.stop();
+  return 0;
+};
+
+/** Options of `standin target`. */
+export interface TargetCommandOptions {
+  platform: string;
+  service: string;
+  region: string;
+  failureDomain: string;
+  count: number;
+  slots: number;
+  serviceMs: number;
+  answerBytes: number;
+  host: string;
+}
+
+/** Runs `count` upstream stand-ins; on a signal each drains, then exits. */
+export const targetCommand = async (options: TargetCommandOptions): Promise<number> => {
+  enableLogs(process.env.DEBUG ?? 'cardamomladder:*,-cardamomladder:trace');
+  const members = createMemberClient(options.platform);
+  const upstreams: Upstream[] = [];
+  for (let i = 0; i < options.count; i += 1) {
+    upstreams.push(
+      await startUpstream({
+        id: `${options.service}-${options.failureDomain}-${i}`,
+        service: options.service,
+        region: options.region,
+        failureDomain: options.failureDomain,
+        slots: options.slots,
+        serviceMs: options.serviceMs,
+        answerBytes: options.answerBytes,
+        host: options.host,
+        members,
+      }),
+    );
+  }
+  console.log(
+    JSON.stringify({ targets: upstreams.map((u) => ({ id: u.id, address: u.address })) }),
+  );
+  await untilSignal();
+  const drains = await Promise.all(upstreams.map((u) => u.stop()));
+  console.log(JSON.stringify({ drainMs: drains }));
+  return 0;
+};
--- /dev/null
+++ b/packages/cli/src/demo/cluster.ts
@@ -0,0 +1,121 @@
+/**
+ * Starts a whole deployment in this process on loopback: the platform
+ * stand-in, target stand-ins for a layout, and entry daemons. Used by the
+ * demo and by tests; the daemon itself never starts other processes.
+ */
+import type { Result } from 'neverthrow';
+import type { Failure } from '@cardamomladder/types';
+import type { Entry } from '@cardamomladder/entry';
+import { startEntry } from '@cardamomladder/entry';
+import type { Document, Layout } from '@cardamomladder/document';
+import { layoutDocument, upstreamDomain } from '@cardamomladder/document';
+import { applyDocument } from '@cardamomladder/console';
+import type { MemberListStandin } from '@cardamomladder/member-list';
+import { createMemberClient, createMemberListStandin } from '@cardamomladder/member-list';
+import type { KvClient, PlatformStandin } from '@cardamomladder/platform-kv';
+import { createKvClient, startPlatformStandin } from '@cardamomladder/platform-kv';
+import { validateSettings } from '@cardamomladder/settings';
+import type { Upstream } from '@cardamomladder/targets';
+import { startUpstream } from '@cardamomladder/targets';
+
+/** A deployment running in this process. */
+export interface Cluster {
+  platform: PlatformStandin;
+  members: MemberListStandin;
+  kv: KvClient;
+  upstreams: Map<string, Upstream[]>;
+  entries: Entry[];
+  document: Document;
+  stop: () => Promise<void>;
+}
+
+/** Options for `startCluster`. */
+export interface ClusterOptions {
+  layout: Layout;
+  /** Entry instances per failure domain. */
+  entriesPerDomain?: number;
+  memberLagMs?: number;
+  /** Scales every upstream's work time; 1 is the layout's figure. */
+  serviceScale?: number;
+}
+
+const unwrap = <T>(result: Result<T, Failure>): T => {
+  if (result.isErr()) throw result.error;
+  return result.value;
+};
+
+/** Starts platform, targets and entries for `layout`, applies its document, and waits until all entries are ready. */
+export const startCluster = async (options: ClusterOptions): Promise<Cluster> => {
+  const { layout } = options;
+  const members = createMemberListStandin(options.memberLagMs ?? 500);
+  const platform = await startPlatformStandin({ handlers: [members.handle] });
+  const kv = createKvClient({ url: platform.url });
+  const memberClient = createMemberClient(platform.url);
+  const upstreams = new Map<string, Upstream[]>();
+  for (const service of layout.services) {
+    const started = await Promise.all(
+      Array.from({ length: service.upstreams }, (_, i) => {
+        const place = upstreamDomain(layout, i);
+        return startUpstream({
+          id: `${service.name}-${place.failureDomain}-${i}`,
+          service: service.name,
+          region: place.region,
+          failureDomain: place.failureDomain,
+          slots: service.slots,
+          serviceMs: service.serviceMs * (options.serviceScale ?? 1),
+          answerBytes: service.answerBytes,
+          members: memberClient,
+        });
+      }),
+    );
+    upstreams.set(service.name, started);
+  }
+  const applied = await applyDocument(kv, layoutDocument(layout, 0));
+  const { revision } = unwrap(applied);
+  const entries: Entry[] = [];
+  for (const region of layout.regions) {
+    for (const failureDomain of region.failureDomains) {
+      for (let n = 0; n < (options.entriesPerDomain ?? 1); n += 1) {
+        const settings = unwrap(
+          validateSettings({
+            id: `entry-${failureDomain}-${n}`,
+            region: region.name,
+            failureDomain,
+            platform: { url: platform.url, watchWaitMs: 10_000 },
+            membersPollMs: 500,
+            tickMs: 100,
+          }),
+        );
+        entries.push(await startEntry(settings));
+      }
+    }
+  }
+  const documents = await Promise.all(entries.map((e) => e.ready()));
+  // The member list lags; wait until every entry sees every target.
+  const total = layout.services.reduce((s, svc) => s + svc.upstreams, 0);
+  const deadline = Date.now() + 10_000;
+  while (Date.now() < deadline) {
+    const seen = entries.map((e) =>
+      [...e.fleet.services.values()].reduce((s, svc) => s + svc.targets.size, 0),
+    );
+    if (seen.every((n) => n === total)) break;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+  }
+  const stop = async () => {
+    await Promise.all(entries.map((e) => e.stop()));
+    await Promise.all([...upstreams.values()].flat().map((u) => u.stop()));
+    members.stop();
+    await platform.stop();
+  };
+  return {
+    platform,
+    members,
+    kv,
+    upstreams,
+    entries,
+    document: documents.find((d) => d.revision === revision) ?? documents[0],
+    stop,
+  };
+};
--- a/packages/document/src/schema.ts
+++ b/packages/document/src/schema.ts
@@ -51,6 +51,17 @@
     .min(0, { error: 'set warmupSeconds to 0 or more' })
     .max(600, { error: 'set warmupSeconds to 600 or less' })
     .default(20),
+  /**
+   * A planned shift in progress, written by the console when shares change:
+   * the split it started from and when (ms since epoch). Entries place
+   * themselves on the schedule from these, so all agree where the shift is.
+   */
+  shift: z
+    .object({
+      from: z.record(z.string(), z.number().min(0)),
+      startedAt: z.number({ error: 'give shift.startedAt in ms since the epoch' }).int(),
+    })
+    .optional(),
   shares: z.record(
     name('region name'),
     z
@@ -66,7 +77,7 @@
     revision: z
       .number({ error: 'give revision as a whole number; the console sets it' })
       .int({ error: 'give revision as a whole number' })
-      .min(1, { error: 'set revision to 1 or more' }),
+      .min(0, { error: 'set revision to 0 (a first document) or more' }),
     regions: z.array(region).min(1, { error: 'list at least one region' }),
     services: z.array(service).min(1, { error: 'list at least one service' }),
   })
--- /dev/null
+++ b/packages/entry/src/daemon.ts
@@ -0,0 +1,169 @@
+/**
+ * The entry daemon: one per entry instance, all on one event loop. It
+ * registers itself for callers, follows the operators' document and the
+ * member list, ticks the steering, and serves callers until a planned stop,
+ * which is graceful: it leaves the callers' list first, refuses new work as
+ * "not run" with `connection: close`, and waits for every request in flight.
+ */
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { EntryAddress } from '@cardamomladder/callers';
+import type { Document } from '@cardamomladder/document';
+import { createMemberClient } from '@cardamomladder/member-list';
+import { createKvClient } from '@cardamomladder/platform-kv';
+import type { EntrySettings } from '@cardamomladder/settings';
+import type { EntryMetrics } from '@cardamomladder/telemetry';
+import { entryMetrics, logger } from '@cardamomladder/telemetry';
+import { followConfig } from './state/config';
+import { Dedup } from './state/dedup';
+import { Fleet } from './state/fleet';
+import { startRegistry } from './state/registry';
+import { RetryBudget } from './state/retryBudget';
+import { route } from './server/routes';
+
+const log = logger('entry');
+
+/** Prefix under which entries register for callers. */
+export const ENTRIES_PREFIX = 'cardamomladder/entries/';
+
+/** A running entry daemon. */
+export interface Entry {
+  address: string;
+  fleet: Fleet;
+  metrics: EntryMetrics;
+  server: Server;
+  /** Resolves with the first document in force. */
+  ready: () => Promise<Document>;
+  /** Graceful stop; resolves with the time in ms it took to drain its own requests. */
+  stop: () => Promise<number>;
+}
+
+/** Options for tests and the demo: randomness, process metrics. */
+export interface EntryOptions {
+  random?: () => number;
+  processMetrics?: boolean;
+}
+
+/** Starts an entry daemon with validated settings. */
+export const startEntry = async (
+  settings: EntrySettings,
+  options: EntryOptions = {},
+): Promise<Entry> => {
+  const metrics = entryMetrics(options.processMetrics ?? false);
+  const onCall = (call: string) => metrics.storeCalls.inc({ call });
+  const kv = createKvClient({
+    url: settings.platform.url,
+    timeoutMs: settings.platform.timeoutMs,
+    onCall,
+  });
+  const members = createMemberClient(settings.platform.url, onCall);
+  const fleet = new Fleet();
+  const inflight = new Set<Promise<unknown>>();
+  let stopping = false;
+  const random = options.random ?? Math.random;
+
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(settings.listen.port, settings.listen.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const address = settings.advertise ?? `${settings.listen.host}:${port}`;
+  const self: EntryAddress = {
+    id: settings.id,
+    address,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+  };
+
+  const config = followConfig(kv, settings.platform.documentKey, {
+    waitMs: settings.platform.watchWaitMs,
+    random,
+  });
+  const configSub = config.state.subscribe((state) => {
+    if (state.document && state.document.revision > fleet.revision) {
+      fleet.applyDocument(state.document);
+      metrics.documentRevision.set(state.document.revision);
+    }
+  });
+  const registry = startRegistry(kv, ENTRIES_PREFIX, self, {
+    leaseTtlMs: settings.leaseTtlMs,
+    waitMs: settings.platform.watchWaitMs,
+  });
+
+  const pollMembers = () => {
+    members.list().match(
+      (reply) => fleet.applyMembers(reply.members, Date.now()),
+      () => {},
+    );
+  };
+  pollMembers();
+  const membersTimer = setInterval(pollMembers, settings.membersPollMs);
+  const tickTimer = setInterval(() => {
+    const now = Date.now();
+    fleet.tick(now);
+    fleet.services.forEach((steering, service) => {
+      steering
+        .headroomByRegion(now)
+        .forEach((h, region) => metrics.regionHeadroom.set({ service, region }, h));
+      steering.currentSplit.forEach((share, region) =>
+        metrics.regionShare.set({ service, region }, share),
+      );
+    });
+  }, settings.tickMs);
+
+  const dedup = new Dedup();
+  const budget = new RetryBudget();
+  server.on('request', (req, res) =>
+    route(req, res, {
+      fleet,
+      metrics,
+      dedup,
+      budget,
+      random,
+      connectTimeoutMs: settings.connectTimeoutMs,
+      self,
+      entries: registry.entries,
+      stopping: () => stopping,
+      onRequest: (done) => {
+        inflight.add(done);
+        done.finally(() => inflight.delete(done)).catch(() => {});
+      },
+    }),
+  );
+  log.info('entry listening', { id: settings.id, address, failureDomain: settings.failureDomain });
+
+  const ready = () =>
+    new Promise<Document>((resolve) => {
+      const sub = config.state.subscribe((state) => {
+        if (state.document) {
+          resolve(state.document);
+          queueMicrotask(() => sub.unsubscribe());
+        }
+      });
+    });
+
+  const stop = async () => {
+    const started = Date.now();
+    stopping = true;
+    await registry.deregister();
+    server.close();
+    await Promise.race([
+      Promise.allSettled([...inflight]),
+      new Promise((resolve) => {
+        setTimeout(resolve, settings.drainGraceMs).unref();
+      }),
+    ]);
+    server.closeAllConnections();
+    clearInterval(membersTimer);
+    clearInterval(tickTimer);
+    configSub.unsubscribe();
+    config.stop();
+    registry.stop();
+    const ms = Date.now() - started;
+    log.info('entry stopped', { id: settings.id, drainMs: ms });
+    return ms;
+  };
+
+  return { address, fleet, metrics, server, ready, stop };
+};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,9 @@
+export type { Entry, EntryOptions } from './daemon';
+export { ENTRIES_PREFIX, startEntry } from './daemon';
+export type { ConfigState } from './state/config';
+export { followConfig } from './state/config';
+export type { DedupLimits, DedupVerdict, StoredAnswer } from './state/dedup';
+export { DEFAULT_DEDUP, Dedup } from './state/dedup';
+export { Fleet } from './state/fleet';
+export { RetryBudget } from './state/retryBudget';
+export { orderEntries } from './server/routes';
--- /dev/null
+++ b/packages/entry/src/state/config.ts
@@ -0,0 +1,75 @@
+/**
+ * Follows the operators' document in the platform KV. A document is put in
+ * force only if it validates and its revision is higher than the one in
+ * force, so a late watch answer, a replayed event or a stale writer can never
+ * turn the configuration back. While the store is down the last good
+ * document stays in force; the entry keeps serving.
+ */
+import { BehaviorSubject } from 'rxjs';
+import type { Subscription } from 'rxjs';
+import type { Document } from '@cardamomladder/document';
+import { parseDocument } from '@cardamomladder/document';
+import type { KvClient } from '@cardamomladder/platform-kv';
+import { watchPrefix } from '@cardamomladder/platform-kv';
+import { logger } from '@cardamomladder/telemetry';
+
+const log = logger('entry:config');
+
+/** The document in force (undefined before the first) and the store's reachability. */
+export interface ConfigState {
+  document?: Document;
+  storeUp: boolean;
+  rejected: number;
+}
+
+/** Follows `key`; `state` emits on every change of document or store state. */
+export const followConfig = (
+  kv: KvClient,
+  key: string,
+  options: { waitMs: number; random?: () => number },
+): { state: BehaviorSubject<ConfigState>; stop: () => void } => {
+  const state = new BehaviorSubject<ConfigState>({ storeUp: false, rejected: 0 });
+  const subscription: Subscription = watchPrefix(kv, key, {
+    waitMs: options.waitMs,
+    random: options.random,
+  }).subscribe((update) => {
+    const current = state.value;
+    if (update.kind === 'down') {
+      if (current.storeUp || current.document === undefined) {
+        log.warn('platform KV unreachable; keeping the document in force', {
+          revision: current.document?.revision,
+          reason: update.failure.message,
+        });
+      }
+      state.next({ ...current, storeUp: false });
+      return;
+    }
+    const item = update.items.filter((i) => i.key === key && i.value !== null).at(-1);
+    if (!item?.value) {
+      state.next({ ...current, storeUp: true });
+      return;
+    }
+    const parsed = parseDocument(item.value);
+    if (parsed.isErr()) {
+      log.error('document in the store is invalid; keeping the one in force', {
+        reason: parsed.error.message,
+      });
+      state.next({ ...current, storeUp: true, rejected: current.rejected + 1 });
+      return;
+    }
+    const next = parsed.value;
+    if (current.document && next.revision <= current.document.revision) {
+      state.next({ ...current, storeUp: true });
+      return;
+    }
+    log.info('document in force', { revision: next.revision });
+    state.next({ ...current, document: next, storeUp: true });
+  });
+  return {
+    state,
+    stop: () => {
+      subscription.unsubscribe();
+      state.complete();
+    },
+  };
+};
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,2 @@
+export type { LoadPlan, LoadReport, Mix, ServiceReport } from './run';
+export { runLoad } from './run';
--- /dev/null
+++ b/packages/load/src/run.ts
@@ -0,0 +1,128 @@
+/**
+ * The load tool: many callers sending requests through entries for a fixed
+ * time, each waiting for its answer before the next (closed loop), with
+ * latencies in HDR histograms. Bounded in count and time, on loopback.
+ */
+import * as hdr from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import type { CallResult, EntryAddress } from '@cardamomladder/callers';
+import { Caller } from '@cardamomladder/callers';
+
+/** One service's share of the load. */
+export interface Mix {
+  service: string;
+  weight: number;
+  idempotent: boolean;
+}
+
+/** How to drive the load. */
+export interface LoadPlan {
+  entries: EntryAddress[];
+  mix: Mix[];
+  /** Callers sending at once. */
+  concurrency: number;
+  durationMs: number;
+  /** Stops earlier after this many requests. */
+  maxRequests?: number;
+  random?: () => number;
+}
+
+/** Figures for one service. */
+export interface ServiceReport {
+  service: string;
+  requests: number;
+  ok: number;
+  notRun: number;
+  unknown: number;
+  transport: number;
+  p50Ms: number;
+  p99Ms: number;
+  maxMs: number;
+  bytes: number;
+}
+
+/** What a run measured. */
+export interface LoadReport {
+  durationMs: number;
+  requests: number;
+  perSecond: number;
+  services: ServiceReport[];
+}
+
+const pickService = (mix: Mix[], random: () => number): Mix => {
+  const total = mix.reduce((s, m) => s + m.weight, 0);
+  let roll = random() * total;
+  for (const m of mix) {
+    roll -= m.weight;
+    if (roll < 0) return m;
+  }
+  return mix[mix.length - 1];
+};
+
+/** Runs the plan and reports per-service latency and outcomes. */
+export const runLoad = async (plan: LoadPlan): Promise<LoadReport> => {
+  const random = plan.random ?? Math.random;
+  const histograms = new Map<string, Histogram>();
+  const counts = new Map<string, Omit<ServiceReport, 'p50Ms' | 'p99Ms' | 'maxMs' | 'service'>>();
+  plan.mix.forEach((m) => {
+    histograms.set(
+      m.service,
+      hdr.build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: 120_000_000,
+        numberOfSignificantValueDigits: 3,
+      }),
+    );
+    counts.set(m.service, { requests: 0, ok: 0, notRun: 0, unknown: 0, transport: 0, bytes: 0 });
+  });
+  const started = performance.now();
+  const until = started + plan.durationMs;
+  let sent = 0;
+  let sequence = 0;
+  const record = (service: string, result: CallResult) => {
+    histograms.get(service)?.recordValue(Math.max(1, Math.round(result.latencyMs * 1000)));
+    const c = counts.get(service);
+    if (!c) return;
+    c.requests += 1;
+    c.bytes += result.bytes;
+    if (result.outcome === 'ok') c.ok += 1;
+    else if (result.outcome === 'not-run') c.notRun += 1;
+    else if (result.outcome === 'unknown') c.unknown += 1;
+    else c.transport += 1;
+  };
+  const worker = async () => {
+    const caller = new Caller(plan.entries, random);
+    while (
+      performance.now() < until &&
+      (plan.maxRequests === undefined || sent < plan.maxRequests)
+    ) {
+      sent += 1;
+      const m = pickService(plan.mix, random);
+      sequence += 1;
+      const result = await caller.call(
+        m.service,
+        m.idempotent
+          ? {}
+          : { method: 'POST', body: '{"visit":1}', key: `load-${process.pid}-${sequence}` },
+      );
+      record(m.service, result);
+    }
+    caller.close();
+  };
+  await Promise.all(Array.from({ length: plan.concurrency }, worker));
+  const durationMs = performance.now() - started;
+  const services = plan.mix.map((m): ServiceReport => {
+    const h = histograms.get(m.service) as Histogram;
+    const c = counts.get(m.service) as Omit<ServiceReport, 'p50Ms' | 'p99Ms' | 'maxMs' | 'service'>;
+    return {
+      service: m.service,
+      ...c,
+      p50Ms: h.totalCount ? h.getValueAtPercentile(50) / 1000 : 0,
+      p99Ms: h.totalCount ? h.getValueAtPercentile(99) / 1000 : 0,
+      maxMs: h.totalCount ? h.maxValue / 1000 : 0,
+    };
+  });
+  histograms.forEach((h) => h.destroy());
+  const requests = services.reduce((s, r) => s + r.requests, 0);
+  return { durationMs, requests, perSecond: (requests * 1000) / durationMs, services };
+};
--- a/packages/platform-kv/src/client/kvClient.ts
+++ b/packages/platform-kv/src/client/kvClient.ts
@@ -102,6 +102,10 @@
           : okAsync((r.body as PutReply).modRevision),
       ),
 
+    /** Deletes a key; absent keys are not an error. */
+    delete: (k: string): ResultAsync<void, Failure> =>
+      call('delete', key(k), { method: 'DELETE', write: true }).map(() => undefined),
+
     /** Grants a lease of `ttlMs`. */
     grantLease: (ttlMs: number): ResultAsync<LeaseReply, Failure> =>
       call('lease', '/v1/leases', { method: 'POST', body: { ttlMs }, write: true }).map(
--- a/packages/platform-kv/src/index.ts
+++ b/packages/platform-kv/src/index.ts
@@ -17,3 +17,5 @@
 export { createKvStandin } from './server/standin';
 export type { WriteOutcome } from './server/store';
 export { KvStore } from './server/store';
+export type { Handler, PlatformStandin } from './server/platform';
+export { startPlatformStandin } from './server/platform';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,3 @@
+export type { EntrySettings, EntrySettingsInput } from './schema';
+export { entrySettingsSchema } from './schema';
+export { loadSettings, validateSettings } from './load';
