--- /dev/null
+++ b/packages/cli/src/__fixtures__/tiny.ts
@@ -0,0 +1,77 @@
+/** A small layout for tests: two regions, one failure domain each, three services. */
+import type { Layout } from '@cardamomladder/document';
+
+export const tiny: Layout = {
+  name: 'tiny',
+  regionDelayMs: 0,
+  regions: [
+    { name: 'north', failureDomains: ['north-a'] },
+    { name: 'south', failureDomains: ['south-a'] },
+  ],
+  services: [
+    {
+      name: 'lookup',
+      idempotent: true,
+      upstreams: 2,
+      slots: 4,
+      serviceMs: 2,
+      answerBytes: 200,
+      deadlineMs: 2000,
+    },
+    {
+      name: 'book',
+      idempotent: false,
+      upstreams: 2,
+      slots: 4,
+      serviceMs: 5,
+      answerBytes: 100,
+      deadlineMs: 2000,
+    },
+    {
+      name: 'bundle',
+      idempotent: true,
+      upstreams: 2,
+      slots: 2,
+      serviceMs: 5,
+      answerBytes: 2 * 1024 * 1024,
+      deadlineMs: 20_000,
+    },
+  ],
+};
+
+/** Sends one request to an entry and reads the whole answer. */
+export const send = async (
+  address: string,
+  path: string,
+  init: { method?: string; body?: string; headers?: Record<string, string> } = {},
+): Promise<{
+  status: number;
+  outcome: string | null;
+  error?: string;
+  bytes: number;
+  retryAfter: string | null;
+}> => {
+  const response = await fetch(`http://${address}${path}`, {
+    method: init.method ?? 'GET',
+    body: init.body,
+    headers: init.headers,
+  });
+  const body = Buffer.from(await response.arrayBuffer());
+  let error: string | undefined;
+  if (response.headers.get('content-type') === 'application/json') {
+    error = (JSON.parse(body.toString('utf8')) as { error?: string }).error;
+  }
+  return {
+    status: response.status,
+    outcome: response.headers.get('x-outcome'),
+    error,
+    bytes: body.length,
+    retryAfter: response.headers.get('retry-after'),
+  };
+};
+
+/** Resolves after `ms`. */
+export const sleep = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
--- a/packages/cli/src/demo/cluster.ts
+++ b/packages/cli/src/demo/cluster.ts
@@ -37,6 +37,8 @@
   memberLagMs?: number;
   /** Scales every upstream's work time; 1 is the layout's figure. */
   serviceScale?: number;
+  /** Streaming time of each answer per service, in ms (long downloads). */
+  streamMs?: Record<string, number>;
 }
 
 const unwrap = <T>(result: Result<T, Failure>): T => {
@@ -64,6 +66,7 @@
           slots: service.slots,
           serviceMs: service.serviceMs * (options.serviceScale ?? 1),
           answerBytes: service.answerBytes,
+          streamMs: options.streamMs?.[service.name],
           members: memberClient,
         });
       }),
--- /dev/null
+++ b/packages/steering/src/__tests__/choose.test.ts
@@ -0,0 +1,40 @@
+import { describe, expect, it } from 'vitest';
+import type { ServiceSpec } from '@cardamomladder/document';
+import { failureDomainName, regionName, targetId } from '@cardamomladder/types';
+import { ServiceSteering } from '../service';
+
+const spec: ServiceSpec = {
+  name: 'book',
+  idempotent: false,
+  deadlineMs: 1000,
+  maxAttempts: 3,
+  maxShiftPerMinute: 0.2,
+  warmupSeconds: 0,
+  shares: { north: 1 },
+};
+
+describe('choose', () => {
+  it('serves at once when targets arrive between two ticks', () => {
+    // Symptom: the first bookings after start were answered "not run: no
+    // target is live" although the member list had the targets.
+    // Sequence: the entry ticks while it knows no target (empty split),
+    // the member list then brings targets, a request arrives before the
+    // next tick. Cause: choose() picked a region from the empty split.
+    const steering = new ServiceSteering(spec, new Map());
+    steering.tick(1000);
+    const id = targetId('book-1');
+    steering.targets.set(id, {
+      id,
+      region: regionName('north'),
+      failureDomain: failureDomainName('north-a'),
+      address: '127.0.0.1:1',
+      slots: 4,
+      leaving: false,
+      firstSeen: 1000,
+      avoidUntil: 0,
+      load: { slots: 4, local: 0 },
+    });
+    const choice = steering.choose(1001, () => 0.5);
+    expect(choice.kind === 'target' && choice.target.id).toBe('book-1');
+  });
+});
--- a/packages/steering/src/service.ts
+++ b/packages/steering/src/service.ts
@@ -161,7 +161,7 @@
 
   /** Chooses a target for one attempt; `exclude` holds targets already tried for this request. */
   choose(now: number, random: () => number, exclude: ReadonlySet<TargetId> = new Set()): Choice {
-    if (this.lastTick === undefined) this.tick(now);
+    if (this.lastTick === undefined || this.split.size === 0) this.tick(now);
     const open = [...this.targets.values()].filter(
       (t) => this.admissible(t, now) && !exclude.has(t.id),
     );
--- a/packages/targets/src/protocol.ts
+++ b/packages/targets/src/protocol.ts
@@ -32,4 +32,6 @@
   lie?: boolean;
   /** Accept connections and requests but never answer, as a silent path does. */
   silent?: boolean;
+  /** Do the work, then drop the connection instead of answering: the reply is lost. */
+  resetAfterWork?: boolean;
 }
--- a/packages/targets/src/standin/upstream.ts
+++ b/packages/targets/src/standin/upstream.ts
@@ -30,6 +30,8 @@
   serviceMs: number;
   /** Bytes in each answer; large answers stream in chunks. */
   answerBytes: number;
+  /** Time the answer takes to stream, in ms, as a large download over a slow link does. */
+  streamMs?: number;
   /** Work takes this many times longer on a cold cache. */
   coldFactor?: number;
   /** Requests served before the cache is mostly warm. */
@@ -142,10 +144,13 @@
     });
     let left = options.answerBytes;
     const chunk = Buffer.alloc(Math.min(CHUNK_BYTES, options.answerBytes), 0x61);
+    const pause =
+      (options.streamMs ?? 0) / Math.max(1, Math.ceil(options.answerBytes / chunk.length));
     while (left > 0 && !signal.aborted) {
       const part = left >= chunk.length ? chunk : chunk.subarray(0, left);
       left -= part.length;
       if (!res.write(part)) await once(res, 'drain');
+      if (pause > 0) await sleep(pause, signal);
     }
     res.end();
   };
@@ -187,6 +192,10 @@
       } finally {
         release();
       }
+      if (faults.resetAfterWork) {
+        res.socket?.destroy();
+        return;
+      }
       await streamAnswer(res, cancel.signal);
     } finally {
       open -= 1;
