--- a/packages/steering/src/__tests__/choose.test.ts
+++ b/packages/steering/src/__tests__/choose.test.ts
@@ -38,3 +38,35 @@
     expect(choice.kind === 'target' && choice.target.id).toBe('book-1');
   });
 });
+
+describe('choose after a region loses its last target', () => {
+  it('sends the request to a region that still has one', () => {
+    // Symptom: lookups answered "not run" for a second after one target
+    // started to drain. Sequence: the only target of region north says it
+    // is leaving; until the next tick the split still gives north half the
+    // traffic. Cause: choose() picked north and found no admissible target.
+    const steering = new ServiceSteering({ ...spec, shares: { north: 1, south: 1 } }, new Map());
+    ['north', 'south'].forEach((region) => {
+      const id = targetId(`lookup-${region}`);
+      steering.targets.set(id, {
+        id,
+        region: regionName(region),
+        failureDomain: failureDomainName(`${region}-a`),
+        address: '127.0.0.1:1',
+        slots: 4,
+        leaving: false,
+        firstSeen: 0,
+        avoidUntil: 0,
+        load: { slots: 4, local: 0 },
+      });
+    });
+    steering.tick(1000);
+    const north = steering.targets.get(targetId('lookup-north'));
+    if (north) north.leaving = true;
+    const picks = [0.1, 0.4, 0.6, 0.9].map((roll) => {
+      const choice = steering.choose(1001, () => roll);
+      return choice.kind === 'target' ? choice.target.id : choice.reason;
+    });
+    expect(picks).toEqual(['lookup-south', 'lookup-south', 'lookup-south', 'lookup-south']);
+  });
+});
--- a/packages/steering/src/service.ts
+++ b/packages/steering/src/service.ts
@@ -168,7 +168,9 @@
     if (open.length === 0)
       return { kind: 'refused', reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS };
     const firstAttempt = exclude.size === 0;
-    const region = weightedPick(this.split, random);
+    // A region whose last target just left keeps its share until the next
+    // tick; picking it would refuse a request that another region can take.
+    const region = weightedPick(restrict(this.split, new Set(open.map((t) => t.region))), random);
     // A retry may leave the region: the first attempt already failed there,
     // and a retry is one request, not a shift of traffic.
     const pool = firstAttempt ? open.filter((t) => t.region === region) : open;
