--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -70,7 +70,7 @@
         'error',
         {
           props: true,
-          ignorePropertyModificationsFor: ['target', 'res', 'req', 'known', 'faults'],
+          ignorePropertyModificationsFor: ['target', 'res', 'req', 'known', 'faults', 'model'],
         },
       ],
     },
--- a/packages/console/src/apply.ts
+++ b/packages/console/src/apply.ts
@@ -71,10 +71,11 @@
 export const applyDocument = async (
   kv: KvClient,
   input: DocumentInput,
-  options: { key?: string; now?: () => number } = {},
+  options: { key?: string; now?: () => number; backoffMs?: number } = {},
 ): Promise<Result<Applied, Failure>> => {
   const key = options.key ?? DOCUMENT_KEY;
   const now = options.now ?? Date.now;
+  const backoffMs = options.backoffMs ?? 100;
   const checked = validateDocument(input);
   if (checked.isErr()) return err(checked.error);
   const base = checked.value.revision;
@@ -83,7 +84,7 @@
     const read = await kv.get(key);
     if (read.isErr()) {
       if (attempt >= UNAVAILABLE_TRIES) return err(read.error);
-      await sleep(100 * 2 ** attempt);
+      await sleep(backoffMs * 2 ** attempt);
       continue;
     }
     const item = read.value;
@@ -112,7 +113,7 @@
     if (put.error.kind === 'store-outcome-unknown') continue;
     if (put.error.kind === 'store-conflict') continue;
     if (attempt >= UNAVAILABLE_TRIES) return err(put.error);
-    await sleep(100 * 2 ** attempt);
+    await sleep(backoffMs * 2 ** attempt);
   }
 };
 
--- /dev/null
+++ b/packages/entry/src/state/__tests__/config.test.ts
@@ -0,0 +1,36 @@
+import { okAsync } from 'neverthrow';
+import { describe, expect, it } from 'vitest';
+import { layoutDocument, waitaha } from '@cardamomladder/document';
+import type { KvClient, KvItem } from '@cardamomladder/platform-kv';
+import { followConfig } from '../config';
+
+const item = (revision: number, modRevision: number): KvItem => ({
+  key: 'doc',
+  value: JSON.stringify(layoutDocument(waitaha, revision)),
+  modRevision,
+});
+
+describe('followConfig', () => {
+  it('keeps the newer document when an older one arrives later', async () => {
+    // Symptom: entries fall back to an old configuration. Sequence: the
+    // entry reads revision 5; a delayed watch answer (or a replayed event
+    // after a reconnect) then delivers revision 3. Cause it guards against:
+    // taking the latest message rather than the highest revision.
+    const replies = [item(3, 12)];
+    const fake = {
+      list: () => okAsync({ items: [item(5, 20)], revision: 20 }),
+      watchOnce: () =>
+        okAsync(
+          replies.length > 0
+            ? { events: replies.splice(0), revision: 21 }
+            : { events: [], revision: 21 },
+        ),
+    } as unknown as KvClient;
+    const follower = followConfig(fake, 'doc', { waitMs: 10 });
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(follower.state.value.document?.revision).toBe(5);
+    follower.stop();
+  });
+});
