--- a/packages/steering/src/service.ts
+++ b/packages/steering/src/service.ts
@@ -65,6 +65,9 @@
 
   private lastTick: number | undefined;
 
+  /** Admissible targets per region as of the last tick; see `sample`. */
+  private byRegion = new Map<RegionName, TargetView[]>();
+
   constructor(
     spec: ServiceSpec,
     reserves: Reserves,
@@ -150,18 +153,48 @@
     const desired = this.desired(now);
     if (this.lastTick === undefined || this.split.size === 0) {
       this.split = desired;
-      this.lastTick = now;
-      return;
+    } else {
+      const step = (this.spec.maxShiftPerMinute * Math.max(0, now - this.lastTick)) / 60_000;
+      const alive = restrict(this.split, new Set(desired.keys()));
+      this.split = moveToward(alive, desired, step);
     }
-    const step = (this.spec.maxShiftPerMinute * Math.max(0, now - this.lastTick)) / 60_000;
     this.lastTick = now;
-    const alive = restrict(this.split, new Set(desired.keys()));
-    this.split = moveToward(alive, desired, step);
+    this.byRegion = new Map();
+    this.targets.forEach((t) => {
+      if (!this.admissible(t, now)) return;
+      const list = this.byRegion.get(t.region);
+      if (list) list.push(t);
+      else this.byRegion.set(t.region, [t]);
+    });
+  }
+
+  /**
+   * First attempts take this path: two candidates drawn from the region's
+   * admissible targets as of the last tick, each checked again now (it may
+   * have started to leave, been dropped, or filled up since). Undefined
+   * sends the caller to the full scan, which is exact.
+   */
+  private sample(now: number, random: () => number): TargetView | undefined {
+    const region = weightedPick(this.split, random);
+    const pool = region === undefined ? undefined : this.byRegion.get(region);
+    if (!pool || pool.length === 0) return undefined;
+    const usable = (t: TargetView) =>
+      this.targets.get(t.id) === t &&
+      this.admissible(t, now) &&
+      busySlots(t.load, now, this.staleness) < t.slots;
+    const a = pool[Math.floor(random() * pool.length)];
+    const b = pool[Math.floor(random() * pool.length)];
+    if (!usable(a) || !usable(b)) return undefined;
+    return this.score(a, now) <= this.score(b, now) ? a : b;
   }
 
   /** Chooses a target for one attempt; `exclude` holds targets already tried for this request. */
   choose(now: number, random: () => number, exclude: ReadonlySet<TargetId> = new Set()): Choice {
     if (this.lastTick === undefined || this.split.size === 0) this.tick(now);
+    if (exclude.size === 0) {
+      const fast = this.sample(now, random);
+      if (fast) return { kind: 'target', target: fast };
+    }
     const open = [...this.targets.values()].filter(
       (t) => this.admissible(t, now) && !exclude.has(t.id),
     );
