--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -91,9 +91,16 @@
     waitMs: settings.platform.watchWaitMs,
   });
 
+  // Polls ask only for changes since the version held: the full list at
+  // letter-1 size is 265 KB a poll, 29 times the control budget of 9 KB/s
+  // (docs/CAPACITY.md), while changes come a few hundred times a day.
+  let membersVersion: number | undefined;
   const pollMembers = () => {
-    members.list().match(
-      (reply) => fleet.applyMembers(reply.members, Date.now()),
+    members.list(membersVersion).match(
+      (reply) => {
+        membersVersion = reply.version;
+        if (!reply.unchanged) fleet.applyMembers(reply.members, Date.now());
+      },
       () => {},
     );
   };
--- a/packages/member-list/src/client/memberClient.ts
+++ b/packages/member-list/src/client/memberClient.ts
@@ -29,9 +29,11 @@
       .andThen((r) => (r.status >= 400 ? errAsync(down(`status ${r.status}`)) : okAsync(r.body)));
   };
   return {
-    /** Reads the published list. */
-    list: (): ResultAsync<MembersReply, Failure> =>
-      call('/v1/members', 'GET').map((b) => b as MembersReply),
+    /** Reads the published list; with `since`, only if it changed since that version. */
+    list: (since?: number): ResultAsync<MembersReply, Failure> =>
+      call(since === undefined ? '/v1/members' : `/v1/members?since=${since}`, 'GET').map(
+        (b) => b as MembersReply,
+      ),
     /** Announces or updates a target. */
     announce: (member: Member): ResultAsync<void, Failure> =>
       call(`/v1/members/${encodeURIComponent(member.id)}`, 'PUT', member).map(() => undefined),
--- a/packages/member-list/src/protocol.ts
+++ b/packages/member-list/src/protocol.ts
@@ -20,8 +20,15 @@
   state: MemberState;
 }
 
-/** Answer to `GET /v1/members`: the list as of `asOf` (ms since epoch). */
+/**
+ * Answer to `GET /v1/members`: the list as of `asOf` (ms since epoch) and
+ * its `version`. With `?since=<version>` of the list the reader already has,
+ * an unchanged list is answered `{ unchanged: true, version, asOf }` with
+ * no members: a poll then costs a few bytes instead of the whole list.
+ */
 export interface MembersReply {
+  version: number;
+  unchanged?: boolean;
   members: Member[];
   asOf: number;
 }
--- a/packages/member-list/src/server/standin.ts
+++ b/packages/member-list/src/server/standin.ts
@@ -22,29 +22,46 @@
 /** Creates the stand-in; `lagMs` is how stale the published list may be. */
 export const createMemberListStandin = (lagMs = 1000): MemberListStandin => {
   const current = new Map<string, Member>();
-  let published: MembersReply = { members: [], asOf: Date.now() };
+  let version = 0;
+  let published: MembersReply = { version, members: [], asOf: Date.now() };
   let served = 0;
   const publish = () => {
-    published = { members: [...current.values()], asOf: Date.now() };
+    if (published.version === version) {
+      published = { ...published, asOf: Date.now() };
+      return;
+    }
+    published = { version, members: [...current.values()], asOf: Date.now() };
   };
   const timer = setInterval(publish, lagMs);
   timer.unref();
 
-  const route = async (req: IncomingMessage, res: ServerResponse, path: string) => {
+  const route = async (req: IncomingMessage, res: ServerResponse, url: URL) => {
+    const path = url.pathname;
     const id = /^\/v1\/members\/([^/]+)$/.exec(path)?.[1];
     if (path === '/v1/members' && req.method === 'GET') {
       served += 1;
+      const since = Number(url.searchParams.get('since') ?? 'NaN');
+      if (since === published.version) {
+        sendJson(res, 200, {
+          version: published.version,
+          unchanged: true,
+          members: [],
+          asOf: published.asOf,
+        });
+        return;
+      }
       sendJson(res, 200, published);
       return;
     }
     if (id && req.method === 'PUT') {
       const member = (await readJson(req)) as Member;
       current.set(decodeURIComponent(id), { ...member, id: decodeURIComponent(id) });
+      version += 1;
       sendJson(res, 200, { ok: true });
       return;
     }
     if (id && req.method === 'DELETE') {
-      current.delete(decodeURIComponent(id));
+      if (current.delete(decodeURIComponent(id))) version += 1;
       sendJson(res, 200, { ok: true });
       return;
     }
@@ -52,9 +69,9 @@
   };
 
   const handle = (req: IncomingMessage, res: ServerResponse): boolean => {
-    const path = new URL(req.url ?? '/', 'http://standin').pathname;
-    if (!path.startsWith('/v1/members')) return false;
-    route(req, res, path).catch((error: Error & { status?: number }) => {
+    const url = new URL(req.url ?? '/', 'http://standin');
+    if (!url.pathname.startsWith('/v1/members')) return false;
+    route(req, res, url).catch((error: Error & { status?: number }) => {
       if (!res.headersSent) sendJson(res, error.status ?? 500, { error: error.message });
     });
     return true;
