Start an entry's split at the schedule, not its headroom view; prove headroom

Cause: writing the headroom test (an entry starts while akureyri reports all slots busy) showed the first tick jumping straight to the headroom-adjusted split: akureyri's share went from the operators' 0.5 to 0.048 at once (desired() of that state, computed after). Ruled out: the follower step (it moved 0 afterwards only because it had already jumped).

Tests (steering/headroom): fresh figures taken as they are and stale ones fading to full (1, 1, 2, 3, 3 busy of 3 at 0, 2, 6, 10, 60 s); a region short of its reserve loses share, by at most 0.2 in a minute; both regions full -> 'region-full' refusals.

--- /dev/null
+++ b/packages/steering/src/__tests__/headroom.test.ts
@@ -0,0 +1,89 @@
+/**
+ * "No steering decision overloads a region": headroom from figures that
+ * lag or stop, traffic moving away from a region short of its reserve, and
+ * refusal rather than overload when a region is full.
+ */
+import { describe, expect, it } from 'vitest';
+import type { ServiceSpec } from '@cardamomladder/document';
+import { failureDomainName, regionName, targetId } from '@cardamomladder/types';
+import { busySlots } from '../headroom';
+import { ServiceSteering } from '../service';
+
+const spec: ServiceSpec = {
+  name: 'skjalasafn',
+  idempotent: true,
+  deadlineMs: 1000,
+  maxAttempts: 3,
+  maxShiftPerMinute: 0.2,
+  warmupSeconds: 0,
+  shares: { akureyri: 1, reykjavik: 1 },
+};
+
+const steeringWith = (busy: Record<string, number>, at: number) => {
+  const steering = new ServiceSteering(
+    spec,
+    new Map([
+      [regionName('akureyri'), 0.15],
+      [regionName('reykjavik'), 0.15],
+    ]),
+  );
+  Object.entries(busy).forEach(([region, inflight]) => {
+    const id = targetId(`skjalasafn-${region}`);
+    steering.targets.set(id, {
+      id,
+      region: regionName(region),
+      failureDomain: failureDomainName(`${region}-a`),
+      address: '127.0.0.1:1',
+      slots: 3,
+      leaving: false,
+      firstSeen: 0,
+      avoidUntil: 0,
+      load: { slots: 3, local: 0, report: { inflight, at } },
+    });
+  });
+  return steering;
+};
+
+describe('headroom', () => {
+  it('takes fresh figures as they are and fades stale ones toward full', () => {
+    // Symptom: work piles onto a target whose load reports stopped.
+    // Sequence: the target reports 1 of 3 slots busy, then goes quiet.
+    // Cause it guards against: trusting the last figure forever.
+    const load = { slots: 3, local: 0, report: { inflight: 1, at: 0 } };
+    expect([0, 2000, 6000, 10_000, 60_000].map((now) => busySlots(load, now))).toEqual([
+      1, 1, 2, 3, 3,
+    ]);
+    expect(busySlots({ slots: 4, local: 3 }, 0)).toBe(3);
+  });
+
+  it('moves traffic away from a region short of its reserve, no faster than the cap', () => {
+    // Symptom: akureyri's bundles slow to a crawl while reykjavik idles.
+    // Sequence: an entry starts while akureyri reports all slots busy, and
+    // it stays so for a minute. Cause it guards against: an entry that
+    // starts at its own headroom view and so moves its callers' traffic
+    // past the cap at once.
+    const steering = steeringWith({ akureyri: 3, reykjavik: 0 }, 0);
+    steering.tick(0);
+    const start = steering.currentSplit.get(regionName('akureyri')) ?? 0;
+    for (let t = 1000; t <= 60_000; t += 1000) {
+      steering.targets.forEach((target) => {
+        if (target.load.report) target.load.report.at = t;
+      });
+      steering.tick(t);
+    }
+    const end = steering.currentSplit.get(regionName('akureyri')) ?? 0;
+    expect(start).toBeCloseTo(0.5);
+    expect(start - end).toBeGreaterThan(0);
+    expect(0.5 - end).toBeLessThanOrEqual(0.2 + 1e-9);
+  });
+
+  it('refuses as "region-full" rather than send past the slots', () => {
+    const steering = steeringWith({ akureyri: 3, reykjavik: 3 }, 0);
+    steering.tick(0);
+    const choices = [0.1, 0.9].map((roll) => steering.choose(10, () => roll));
+    expect(choices.map((c) => (c.kind === 'refused' ? c.reason : c.target.id))).toEqual([
+      'region-full',
+      'region-full',
+    ]);
+  });
+});
--- a/packages/steering/src/service.ts
+++ b/packages/steering/src/service.ts
@@ -109,12 +109,11 @@
   }
 
   /**
-   * The split the entry steers toward at `now`: the operators' shares as the
-   * planned-shift schedule places them, without regions that have no
-   * admissible target, and with regions short of their reserve scaled down
-   * while another region has spare room.
+   * The operators' shares as the planned-shift schedule places them at
+   * `now`, without regions that have no admissible target. Every entry with
+   * the same document and members computes the same split.
    */
-  desired(now: number): Split {
+  scheduledSplit(now: number): Split {
     const to = normalize(new Map(Object.entries(this.spec.shares) as [RegionName, number][]));
     const { shift } = this.spec;
     const base = shift
@@ -126,8 +125,17 @@
           now,
         )
       : to;
+    return restrict(base, new Set(this.headroomByRegion(now).keys()));
+  }
+
+  /**
+   * The split the entry steers toward at `now`: the scheduled split, with
+   * regions short of their reserve scaled down while another region has
+   * spare room.
+   */
+  desired(now: number): Split {
     const room = this.headroomByRegion(now);
-    const live = restrict(base, new Set(room.keys()));
+    const live = this.scheduledSplit(now);
     const reserve = (r: RegionName) => this.reserves.get(r) ?? 0.15;
     const short = [...live.keys()].filter((r) => (room.get(r) ?? 0) < reserve(r));
     const spare = [...live.keys()].some((r) => (room.get(r) ?? 0) > reserve(r));
@@ -152,7 +160,10 @@
   tick(now: number): void {
     const desired = this.desired(now);
     if (this.lastTick === undefined || this.split.size === 0) {
-      this.split = desired;
+      // A starting entry takes the schedule, not its own headroom view:
+      // an entry restarted (220 a day at letter-1 size) must not move its
+      // callers' traffic past the cap by starting somewhere else.
+      this.split = this.scheduledSplit(now);
     } else {
       const step = (this.spec.maxShiftPerMinute * Math.max(0, now - this.lastTick)) / 60_000;
       const alive = restrict(this.split, new Set(desired.keys()));
