Keep a target that went silent out of choices for 5 s

Cause: the silent-target test sent lookups through an entry while one of the two lookup targets accepted requests and never answered. Each attempt drawn to it waited half the deadline (1 s) before the retry went elsewhere, and nothing remembered the timeout: 10 sequential lookups took 5.1 s. Ruled out: the retry itself (each lookup was answered ok, at about 1 s) and the pool (the silent target's sockets are destroyed on timeout).

Change: an attempt that connected but got no answer sets the target's avoidUntil 5 s ahead, as a refused connection already did for 2 s.

--- a/packages/entry/src/server/forwarding.ts
+++ b/packages/entry/src/server/forwarding.ts
@@ -63,6 +63,8 @@
 const MIN_ATTEMPT_MS = 5;
 /** A target that refused a connection is not chosen again for this long. */
 const AVOID_AFTER_CONNECT_FAILURE_MS = 2000;
+/** A target that took an attempt and did not answer is not chosen again for this long. */
+const AVOID_AFTER_SILENCE_MS = 5000;
 
 const pools = new Map<string, Agent>();
 const poolFor = (address: string): Agent => {
@@ -320,6 +322,10 @@
       if (result.reason === 'shed') target.load.report = { inflight: target.slots, at: Date.now() };
       continue;
     }
+    // No answer from a connected target: a silent connection or a hung
+    // target. Keeping it out of choices for a while stops every later
+    // request from spending half its deadline on the same silence.
+    target.avoidUntil = Date.now() + AVOID_AFTER_SILENCE_MS;
     maybeRan = true;
     if (!spec.idempotent) break;
   }
