Read request bodies in one place: readBody in http-json serves entry and stand-ins

Two copies of a limit check drift apart; the two already differed: readJson destroyed the request past its limit and then wrote a 413 to the same socket (from reading the code; no test sent an oversize body to a stand-in).

--- a/packages/entry/src/server/forwarding.ts
+++ b/packages/entry/src/server/forwarding.ts
@@ -29,6 +29,7 @@
 import type { ServiceSteering, TargetView } from '@cardamomladder/steering';
 import type { AttemptResult, NotRunReason } from '@cardamomladder/targets';
 import { REQUEST_KEY_HEADER, sendAttempt } from '@cardamomladder/targets';
+import { readBody } from '@cardamomladder/http-json';
 import type { EntryMetrics } from '@cardamomladder/telemetry';
 import { injectContext, tracer } from '@cardamomladder/telemetry';
 import type { RequestKey, TargetId } from '@cardamomladder/types';
@@ -79,24 +80,6 @@
 const forwardHeaders = (headers: IncomingMessage['headers']): OutgoingHttpHeaders =>
   Object.fromEntries(Object.entries(headers).filter(([name]) => !HOP_BY_HOP.has(name)));
 
-/** Reads the caller's body, refusing more than `MAX_REQUEST_BYTES`. */
-const readBody = (req: IncomingMessage): Promise<Buffer | 'too-large'> =>
-  new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAX_REQUEST_BYTES) {
-        resolve('too-large');
-        req.resume();
-        return;
-      }
-      chunks.push(chunk);
-    });
-    req.on('end', () => resolve(Buffer.concat(chunks)));
-    req.on('error', reject);
-  });
-
 /** Sends an answer the entry makes itself: a refusal with its outcome and remedy. */
 export const refuse = (
   res: ServerResponse,
@@ -202,7 +185,7 @@
   const service = spec.name;
   const started = Date.now();
   const deadlineAt = started + spec.deadlineMs;
-  const body = await readBody(req);
+  const body = await readBody(req, MAX_REQUEST_BYTES);
   if (body === 'too-large') {
     refuse(
       res,
--- a/packages/http-json/src/server.ts
+++ b/packages/http-json/src/server.ts
@@ -16,34 +16,36 @@
   }
 }
 
-/** Reads the request body as JSON; rejects with `BodyError` when it is too large or malformed. */
-export const readJson = (req: IncomingMessage, limit = MAX_JSON_BYTES): Promise<unknown> =>
+/**
+ * Reads the whole request body, or answers `too-large` past `limit` bytes.
+ * The rest of a too-large body is read and dropped, so the connection stays
+ * usable for the refusal.
+ */
+export const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | 'too-large'> =>
   new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      if (size > limit) {
-        reject(new BodyError(413, `body is over ${limit} bytes; send a smaller one`));
-        req.destroy();
-        return;
-      }
-      chunks.push(chunk);
-    });
-    req.on('end', () => {
-      if (size === 0) {
-        resolve(undefined);
-        return;
-      }
-      try {
-        resolve(JSON.parse(Buffer.concat(chunks).toString('utf8')));
-      } catch {
-        reject(new BodyError(400, 'body is not JSON; send a JSON object'));
-      }
+      if (size <= limit) chunks.push(chunk);
     });
+    req.on('end', () => resolve(size > limit ? 'too-large' : Buffer.concat(chunks)));
     req.on('error', reject);
   });
 
+/** Reads the request body as JSON; rejects with `BodyError` when it is too large or malformed. */
+export const readJson = async (req: IncomingMessage, limit = MAX_JSON_BYTES): Promise<unknown> => {
+  const body = await readBody(req, limit);
+  if (body === 'too-large')
+    throw new BodyError(413, `body is over ${limit} bytes; send a smaller one`);
+  if (body.length === 0) return undefined;
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    throw new BodyError(400, 'body is not JSON; send a JSON object');
+  }
+};
+
 /** Sends `body` as JSON with the given status. */
 export const sendJson = (
   res: ServerResponse,
