Steering tests build target views from one fixture

Cause: duplicates listed the target-view literals in choose.test.ts and headroom.test.ts as the same eleven lines; a field added to TargetView would have to be added in each.

Change: steering/src/__fixtures__/targets.ts targetView(id, region, slots, report?); both tests use it. shiftCap.test.ts keeps its own builder, which also chooses which targets each entry sees.

Measured: the 6 steering tests pass as before; no behaviour changed.

--- a/packages/steering/src/__tests__/choose.test.ts
+++ b/packages/steering/src/__tests__/choose.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { ServiceSpec } from '@cardamomladder/document';
-import { failureDomainName, regionName, targetId } from '@cardamomladder/types';
+import { targetId } from '@cardamomladder/types';
+import { targetView } from '../__fixtures__/targets';
 import { ServiceSteering } from '../service';
 
 const spec: ServiceSpec = {
@@ -22,17 +23,9 @@
     // next tick. Cause: choose() picked a region from the empty split.
     const steering = new ServiceSteering(spec, new Map());
     steering.tick(1000);
-    const id = targetId('book-1');
-    steering.targets.set(id, {
-      id,
-      region: regionName('north'),
-      failureDomain: failureDomainName('north-a'),
-      address: '127.0.0.1:1',
-      slots: 4,
-      leaving: false,
+    steering.targets.set(targetId('book-1'), {
+      ...targetView('book-1', 'north', 4),
       firstSeen: 1000,
-      avoidUntil: 0,
-      load: { slots: 4, local: 0 },
     });
     const choice = steering.choose(1001, () => 0.5);
     expect(choice.kind === 'target' && choice.target.id).toBe('book-1');
@@ -47,18 +40,7 @@
     // traffic. Cause: choose() picked north and found no admissible target.
     const steering = new ServiceSteering({ ...spec, shares: { north: 1, south: 1 } }, new Map());
     ['north', 'south'].forEach((region) => {
-      const id = targetId(`lookup-${region}`);
-      steering.targets.set(id, {
-        id,
-        region: regionName(region),
-        failureDomain: failureDomainName(`${region}-a`),
-        address: '127.0.0.1:1',
-        slots: 4,
-        leaving: false,
-        firstSeen: 0,
-        avoidUntil: 0,
-        load: { slots: 4, local: 0 },
-      });
+      steering.targets.set(targetId(`lookup-${region}`), targetView(`lookup-${region}`, region, 4));
     });
     steering.tick(1000);
     const north = steering.targets.get(targetId('lookup-north'));
--- a/packages/steering/src/__tests__/headroom.test.ts
+++ b/packages/steering/src/__tests__/headroom.test.ts
@@ -5,7 +5,8 @@
  */
 import { describe, expect, it } from 'vitest';
 import type { ServiceSpec } from '@cardamomladder/document';
-import { failureDomainName, regionName, targetId } from '@cardamomladder/types';
+import { regionName, targetId } from '@cardamomladder/types';
+import { targetView } from '../__fixtures__/targets';
 import { busySlots } from '../headroom';
 import { ServiceSteering } from '../service';
 
@@ -28,18 +29,8 @@
     ]),
   );
   Object.entries(busy).forEach(([region, inflight]) => {
-    const id = targetId(`skjalasafn-${region}`);
-    steering.targets.set(id, {
-      id,
-      region: regionName(region),
-      failureDomain: failureDomainName(`${region}-a`),
-      address: '127.0.0.1:1',
-      slots: 3,
-      leaving: false,
-      firstSeen: 0,
-      avoidUntil: 0,
-      load: { slots: 3, local: 0, report: { inflight, at } },
-    });
+    const id = `skjalasafn-${region}`;
+    steering.targets.set(targetId(id), targetView(id, region, 3, { inflight, at }));
   });
   return steering;
 };
