Set the attempt span's error message from result.reason directly

Cause: reading the change once more: the span status message was 'result.kind === unknown ? result.reason : result.reason', a condition whose two branches are the same (both result kinds that reach it carry a reason).

Change: message: result.reason.

--- a/packages/entry/src/server/forwarding.ts
+++ b/packages/entry/src/server/forwarding.ts
@@ -293,7 +293,7 @@
     target.load.local -= 1;
     span.setStatus({
       code: SpanStatusCode.ERROR,
-      message: result.kind === 'unknown' ? result.reason : result.reason,
+      message: result.reason,
     });
     span.end();
     if (result.kind === 'not-run') {
