Place objects on two ranked targets, keep large answers near, repeat only after silence

Cause: (1) cold targets got 31 requests a second of 26 tolerated when three of nine instance entries had lapsed; (2) unframed answers cut by their connection were passed on with a length; (3) a send given up at a fixed time after which no repeat could be made broke off work under a SIGTERM; (4) large answers crossed regions; (5) a process was killed at the end of its grace time. Objects are asked for by one region only, so other regions' targets never know them.

--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -19,6 +19,8 @@
 
 /** How long one watch waits, ms: with the grace, below the shortest time allowed to obey a leaving target. */
 export const WATCH_WAIT_MS = 1000;
+/** Pause after changes, ms, so that those that come close together cost one call: 40 targets that register within two seconds cost 40 calls without it. */
+const GATHER_MS = 150;
 /** Pause before the first and the longest repeat of a failed call, ms. */
 const RETRY_FIRST_MS = 60;
 const RETRY_MOST_MS = 500;
@@ -146,6 +148,7 @@
     regained();
     watched.value.changes.forEach(takeChange);
     beliefs.advance(watched.value.revision);
+    if (watched.value.changes.length > 0) await pause(GATHER_MS);
     return undefined;
   };
 
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -11,7 +11,7 @@
 import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
 import { logBeliefs } from './beliefLog';
 import { decisionLog } from './decisionLog';
-import { FleetSize } from './lifecycle/fleetSize';
+import { FleetMembers } from './lifecycle/fleetMembers';
 import { startPhase } from './lifecycle/phase';
 import { stopGracefully } from './lifecycle/stop';
 import { askPeers } from './peers/ask';
@@ -78,14 +78,16 @@
   const beliefs = new Beliefs();
   const self = entryOf(settings);
   const vouched = new VouchedPeers(now);
-  const fleet = new FleetSize(beliefs, now);
+  const fleet = new FleetMembers(beliefs, now);
   logBeliefs(beliefs, log);
 
   const registry = new TargetRegistry({
     beliefs,
+    fleet,
     ownRegion: self.region,
+    ownDomain: self.failureDomain,
+    domains: settings.failureDomains,
     self: self.id,
-    regionOf: (failureDomain) => settings.failureDomains[failureDomain],
     coldOverage: settings.bounds.coldOverage,
     coldSlack: settings.bounds.coldSlack,
     now,
--- a/packages/gateway/src/lifecycle/phase.ts
+++ b/packages/gateway/src/lifecycle/phase.ts
@@ -16,8 +16,8 @@
 
 /** Part of the grace time after which new requests are refused: those taken before have the other half to finish. */
 export const REFUSE_AFTER_PART = 0.5;
-/** Part of the grace time after which the process ends whatever is still open. */
-export const END_AFTER_PART = 0.95;
+/** Part of the grace time after which the process ends whatever is still open: the rest covers late timers and the last log lines. */
+export const END_AFTER_PART = 0.88;
 
 /** The instance's phase, for those that act on it. */
 export const startPhase = (): BehaviorSubject<Phase> => new BehaviorSubject<Phase>('starting');
--- a/packages/gateway/src/requests/answers.ts
+++ b/packages/gateway/src/requests/answers.ts
@@ -1,6 +1,7 @@
 /** Writing answers to callers: a target's own, unchanged, or one of this instance's. */
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import type { AttemptOutcome } from '../targets/attempt';
+import { isFramed, wholeCheck } from '../targets/attempt';
 
 /** Headers that concern one connection only (RFC 9110, 7.6.1). */
 const CONNECTION_HEADERS = new Set([
@@ -34,13 +35,21 @@
 ): Promise<'complete' | 'cut'> => {
   const headers = passedHeaders(answer.head);
   const { rest } = answer;
+  if (!isFramed(answer.head)) {
+    // Nobody can tell whether it ended early, so it must not be given a length
+    // or a last chunk that says it did not.
+    res.shouldKeepAlive = false;
+    res.useChunkedEncodingByDefault = false;
+    res.removeHeader('transfer-encoding');
+  }
   if (!rest) {
     const body = Buffer.concat(answer.chunks);
-    if (headers['content-length'] === undefined) headers['content-length'] = body.length;
+    if (isFramed(answer.head)) headers['content-length'] ??= body.length;
     res.writeHead(answer.status, headers);
     res.end(body);
     return Promise.resolve('complete');
   }
+  const isWhole = wholeCheck(rest);
   res.writeHead(answer.status, headers);
   answer.chunks.forEach((chunk) => res.write(chunk));
   return new Promise((resolve) => {
@@ -50,7 +59,7 @@
       resolve('cut');
     };
     rest.on('end', () => {
-      if (!rest.complete) {
+      if (!isWhole()) {
         cut();
         return;
       }
--- a/packages/gateway/src/requests/repeatPolicy.ts
+++ b/packages/gateway/src/requests/repeatPolicy.ts
@@ -6,39 +6,41 @@
 import type { RequestKind } from '@cardamomladder/routing';
 import { repeatable } from '@cardamomladder/routing';
 import type { AttemptOutcome } from '../targets/attempt';
+import { isFramed } from '../targets/attempt';
 
 /** A target's own failure from here on is worth another target's answer. */
 const FIRST_SERVER_ERROR = 500;
 /** A send with less time left than this, ms, is not worth making. */
 export const LEAST_SEND_MS = 30;
-/** Part of the time left that a first send may use when a second could follow. */
-const FIRST_SEND_PART = 0.6;
-/** A send is silent for too long past this many times the target's usual answer time. */
-const SILENT_TIMES = 5;
-/** Shortest wait for an answer before a repeat, ms: over a cold answer's time. */
-const SILENT_LEAST_MS = 400;
+/** A send is silent past the target's usual time and this many deviations: the factor of TCP's retransmission timer. */
+const SILENT_DEVIATIONS = 4;
+/** Shortest wait for an answer before a repeat, ms: over the time of an answer from memory with the way there and back. */
+const SILENT_LEAST_MS = 350;
+/** Longest wait before a repeat, as a part of the time left: a repeat needs some itself. */
+const SILENT_MOST_PART = 0.75;
 
 /** True when sending the request once more can't break at-most-once and may help. */
 export const worthRepeating = (kind: RequestKind, outcome: AttemptOutcome): boolean => {
   if (outcome.kind === 'not-run') return true;
   if (!repeatable(kind)) return false;
   if (outcome.kind === 'lost') return outcome.reason !== 'cancelled';
-  return outcome.status >= FIRST_SERVER_ERROR && outcome.rest === undefined;
+  if (outcome.rest !== undefined) return false;
+  // An answer without a stated length may have ended early.
+  return outcome.status >= FIRST_SERVER_ERROR || !isFramed(outcome.head);
 };
 
 /**
- * How long to wait for one send's answer, ms. Connections go silent without
- * a sign; waiting for the whole deadline on one would leave no time for
- * another target.
+ * How long to wait for a send's answer before a repeat is thought of, ms.
+ * Connections go silent without a sign, and answers get lost; but a target
+ * that is slow as it has much to do gets no better by a second send. So the
+ * wait follows what the target's answers take, and how much they vary.
  */
-export const sendTimeout = (
-  kind: RequestKind,
-  lastSend: boolean,
+export const silentAfter = (
   leftMs: number,
-  usualAnswerMs: number | undefined,
+  usual: { answerMs: number; deviationMs: number } | undefined,
 ): number => {
-  if (lastSend || !repeatable(kind)) return leftMs;
-  const part = leftMs * FIRST_SEND_PART;
-  if (usualAnswerMs === undefined) return part;
-  return Math.min(part, Math.max(SILENT_LEAST_MS, usualAnswerMs * SILENT_TIMES));
+  const most = leftMs * SILENT_MOST_PART;
+  if (!usual) return most;
+  const expected = usual.answerMs + SILENT_DEVIATIONS * usual.deviationMs;
+  return Math.min(most, Math.max(SILENT_LEAST_MS, expected));
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import { SpanKind } from '@opentelemetry/api';
+import { repeatable } from '@cardamomladder/routing';
 import type { RepeatBudget } from '@cardamomladder/steering';
 import { place } from '@cardamomladder/steering';
 import { tracer } from '@cardamomladder/telemetry';
@@ -17,7 +18,7 @@
 import type { Wire } from '../wireNames';
 import { answerOwn, passedHeaders, relay } from './answers';
 import type { CallerRequest } from './callerRequest';
-import { LEAST_SEND_MS, sendTimeout, worthRepeating } from './repeatPolicy';
+import { LEAST_SEND_MS, silentAfter, worthRepeating } from './repeatPolicy';
 import { learn } from './targetHealth';
 
 const spans = tracer('gateway');
@@ -61,10 +62,9 @@
     this.tried.add(target);
   }
 
-  /** The send under way; its outcome. */
-  await(attempt: Attempt): Promise<AttemptOutcome> {
+  /** Notes the send that is under way. */
+  await(attempt: Attempt): void {
     this.current = attempt;
-    return attempt.outcome;
   }
 
   /** Ends the request from outside its sends: the caller left, or the answer is due. */
@@ -88,13 +88,36 @@
   return headers;
 };
 
-/** Sends to one target and takes what that teaches. */
-const sendOnce = async (serving: Serving, target: ReachableTarget): Promise<AttemptOutcome> => {
+const logSend = (
+  { request, ctx, sends }: Serving,
+  { placed }: ReachableTarget,
+  result: string,
+  ms: number,
+): void => {
+  const { load } = placed;
+  ctx.log.write('send', request.id, {
+    target: placed.id,
+    send: sends,
+    result,
+    ms: Math.round(ms),
+    busy: load.own + load.others,
+    slots: placed.slots,
+    loadAgeMs: load.reportedAt === undefined ? undefined : Math.round(ctx.now() - load.reportedAt),
+  });
+};
+
+/** A send under way; `outcome` resolves once its lesson is taken. */
+interface Send {
+  outcome: Promise<AttemptOutcome>;
+  cancel: () => void;
+}
+
+/** Sends to one target. */
+const startSend = (serving: Serving, target: ReachableTarget): Send => {
   const { request, ctx } = serving;
   const { placed, connections } = target;
-  const { kind, maxAttempts } = request.route;
   const sentAt = ctx.now();
-  if (kind === 'non-idempotent') connections.closeIdleOver(FRESH_IDLE_MS);
+  if (request.route.kind === 'non-idempotent') connections.closeIdleOver(FRESH_IDLE_MS);
   if (placed.coldUntil > sentAt) placed.coldSends.add(sentAt);
   serving.countSend(placed.id);
   placed.load.own += 1;
@@ -107,60 +130,80 @@
     headers: sendHeaders(serving, target),
     body: request.body,
     requestId: request.id,
-    timeoutMs: sendTimeout(
-      kind,
-      serving.sends >= maxAttempts,
-      request.finalAt - sentAt,
-      placed.answerMs,
-    ),
+    timeoutMs: request.finalAt - sentAt,
     connections,
     wire: ctx.wire,
   });
-  const outcome = await serving.await(attempt);
-  placed.load.own -= 1;
-  const endedAt = ctx.now();
-  learn(placed, outcome, endedAt - sentAt, endedAt);
-  span.end();
-  const result = outcome.kind === 'answer' ? String(outcome.status) : outcome.reason;
-  ctx.metrics.attempts.inc({ result: outcome.kind === 'answer' ? 'answer' : outcome.reason });
-  if (result !== '200') {
-    ctx.log.write('send', request.id, {
-      target: placed.id,
-      send: serving.sends,
-      result,
-      ms: Math.round(endedAt - sentAt),
-      busy: placed.load.own + placed.load.others,
-      slots: placed.slots,
-      loadAgeMs:
-        placed.load.reportedAt === undefined
-          ? undefined
-          : Math.round(endedAt - placed.load.reportedAt),
-    });
-  }
-  return outcome;
+  serving.await(attempt);
+  const outcome = attempt.outcome.then((result) => {
+    placed.load.own -= 1;
+    const tookMs = ctx.now() - sentAt;
+    learn(placed, result, tookMs, ctx.now());
+    span.end();
+    const name = result.kind === 'answer' ? String(result.status) : result.reason;
+    ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
+    if (name !== '200') logSend(serving, target, name, tookMs);
+    return result;
+  });
+  return { outcome, cancel: () => attempt.cancel('timeout') };
 };
 
 /** Chooses the next target, or says why there is none. */
 const choose = (serving: Serving) => {
   const { request, ctx, tried } = serving;
   const { pool, rankings } = ctx.registry.of(request.service);
+  const { route } = request;
   return place(
-    { key: request.key, homeRegions: request.route.homeRegions, tried, now: ctx.now() },
+    {
+      key: request.key,
+      locality: route.kind === 'download' ? 'near' : 'balanced',
+      homeRegions: route.homeRegions,
+      tried,
+      now: ctx.now(),
+    },
     pool,
     rankings,
   );
 };
 
-/** True when the budget and the time left allow one more send. */
-const mayRepeat = (serving: Serving, outcome: AttemptOutcome): boolean => {
+/** The target of one more send, if the request, its time and the budget allow one. */
+const nextTarget = (serving: Serving, outcome: AttemptOutcome): ReachableTarget | undefined => {
   const { request, ctx, sends } = serving;
-  if (serving.ended || sends >= request.route.maxAttempts) return false;
-  if (!worthRepeating(request.route.kind, outcome)) return false;
-  if (request.finalAt - ctx.now() < LEAST_SEND_MS) return false;
-  const granted = ctx.budgetOf(request.service).spend(ctx.now(), ctx.fleetSize());
+  if (serving.ended || sends >= request.route.maxAttempts) return undefined;
+  if (!worthRepeating(request.route.kind, outcome)) return undefined;
+  if (request.finalAt - ctx.now() < LEAST_SEND_MS) return undefined;
+  const choice = choose(serving);
+  if (choice.kind === 'rejected') return undefined;
+  const target = ctx.registry.reach(choice.target.id);
+  const granted = target && ctx.budgetOf(request.service).spend(ctx.now(), ctx.fleetSize());
   ctx.metrics.repeats.inc({ granted: granted ? 'yes' : 'no' });
   if (!granted) ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
-  return granted;
+  return granted ? target : undefined;
+};
+
+const SILENT: AttemptOutcome = { kind: 'lost', reason: 'timeout' };
+
+/** Waits until a send has been silent for too long; the next target then, if it may go there. */
+const nextAfterSilence = async (
+  serving: Serving,
+  send: Send,
+  { placed }: ReachableTarget,
+): Promise<ReachableTarget | undefined> => {
+  const { request, ctx } = serving;
+  if (!repeatable(request.route.kind) || serving.sends >= request.route.maxAttempts)
+    return undefined;
+  const known = placed.answerMs !== undefined && placed.coldUntil <= ctx.now();
+  const waitMs = silentAfter(
+    request.finalAt - ctx.now(),
+    known ? { answerMs: placed.answerMs ?? 0, deviationMs: placed.answerDeviationMs } : undefined,
+  );
+  let timer: NodeJS.Timeout | undefined;
+  const silence = new Promise<'silent'>((resolve) => {
+    timer = setTimeout(() => resolve('silent'), waitMs);
+  });
+  const first = await Promise.race([send.outcome, silence]);
+  clearTimeout(timer);
+  return first === 'silent' ? nextTarget(serving, SILENT) : undefined;
 };
 
 /** A caller whose targets refused or could not be reached may come back after this, ms. */
@@ -179,12 +222,18 @@
   return 'rejected';
 };
 
-/** The final answer after a send that brought none. */
-const finish = (serving: Serving, outcome: AttemptOutcome, mayHaveRun: boolean): ServeOutcome => {
+/** The final answer after the last send. */
+const finish = async (
+  serving: Serving,
+  outcome: AttemptOutcome,
+  mayHaveRun: boolean,
+): Promise<ServeOutcome> => {
   const { request, res, ctx } = serving;
+  if (outcome.kind === 'answer')
+    return (await relay(res, outcome)) === 'complete' ? 'answered' : 'failed';
   if (outcome.kind === 'not-run' && !mayHaveRun)
     return reject(serving, outcome.reason, REFUSED_RETRY_AFTER_MS);
-  const reason = outcome.kind === 'answer' ? String(outcome.status) : outcome.reason;
+  const { reason } = outcome;
   ctx.log.write('failed', request.id, { reason, sends: serving.sends, mayHaveRun });
   answerOwn(res, { status: 502, message: `no usable answer: ${reason}` });
   return 'failed';
@@ -192,35 +241,23 @@
 
 /** Sends until there is an answer, nothing more may be sent, or the request has ended. */
 const sendUntilAnswered = async (serving: Serving): Promise<ServeOutcome> => {
+  const choice = choose(serving);
+  if (choice.kind === 'rejected') return reject(serving, choice.reason, choice.retryAfterMs);
+  let target = serving.ctx.registry.reach(choice.target.id);
   let mayHaveRun = false;
-  let last: AttemptOutcome | undefined;
-  for (;;) {
-    const choice = choose(serving);
-    if (choice.kind === 'rejected') {
-      if (!last) return reject(serving, choice.reason, choice.retryAfterMs);
-      if (last.kind === 'answer') return answerWith(serving, last);
-      return finish(serving, last, mayHaveRun);
-    }
-    const target = serving.ctx.registry.reach(choice.target.id);
-    if (!target) return reject(serving, 'no-target', REFUSED_RETRY_AFTER_MS);
-    last = await sendOnce(serving, target);
+  while (target) {
+    const send = startSend(serving, target);
+    const afterSilence = await nextAfterSilence(serving, send, target);
+    if (afterSilence) send.cancel();
+    const outcome = await send.outcome;
     if (serving.ended) return serving.ended;
-    mayHaveRun = mayHaveRun || last.kind !== 'not-run';
-    if (!mayRepeat(serving, last)) {
-      if (last.kind === 'answer') return answerWith(serving, last);
-      return finish(serving, last, mayHaveRun);
-    }
+    mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
+    target = afterSilence ?? nextTarget(serving, outcome);
+    if (!target) return finish(serving, outcome, mayHaveRun);
   }
+  return reject(serving, 'no-target', REFUSED_RETRY_AFTER_MS);
 };
 
-async function answerWith(
-  serving: Serving,
-  answer: Extract<AttemptOutcome, { kind: 'answer' }>,
-): Promise<ServeOutcome> {
-  const sent = await relay(serving.res, answer);
-  return sent === 'complete' ? 'answered' : 'failed';
-}
-
 /** Serves one request to its end; never rejects. */
 export const serve = async (
   request: CallerRequest,
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -68,6 +68,21 @@
   return !success || answer.headers[names.signature] !== undefined;
 };
 
+/** True when an answer states where it ends; one that does not ends with its connection. */
+export const isFramed = (answer: IncomingMessage): boolean =>
+  answer.headers['content-length'] !== undefined ||
+  answer.headers['transfer-encoding'] !== undefined;
+
+/**
+ * A check, made once an answer has ended, of whether it is whole. Node
+ * reports an unframed answer as complete also when the connection was reset,
+ * which cuts it; so the connection's own end is looked at.
+ */
+export const wholeCheck = (answer: IncomingMessage): (() => boolean) => {
+  const { socket } = answer;
+  return () => answer.complete && (isFramed(answer) || socket.readableEnded);
+};
+
 /** A refusal counts as "not run" if it says so and doesn't name another request. */
 const refusal = (
   answer: IncomingMessage,
@@ -121,6 +136,7 @@
     }
     const status = answer.statusCode ?? 0;
     const chunks: Buffer[] = [];
+    const isWhole = wholeCheck(answer);
     let size = 0;
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
@@ -132,7 +148,7 @@
     };
     answer.on('data', onData);
     answer.on('end', () => {
-      if (answer.complete) finish({ kind: 'answer', status, head: answer, chunks, load });
+      if (isWhole()) finish({ kind: 'answer', status, head: answer, chunks, load });
       else finish({ kind: 'lost', reason: 'closed' });
     });
     answer.on('error', () => finish({ kind: 'lost', reason: 'closed' }));
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -13,7 +13,8 @@
   SocketAddress,
   TargetId,
 } from '@cardamomladder/types';
-import { regionName } from '@cardamomladder/types';
+import { failureDomainName, regionName } from '@cardamomladder/types';
+import type { FleetMembers } from '../lifecycle/fleetMembers';
 import { TargetConnections } from './connections';
 
 /** A target with its connections and address. */
@@ -34,8 +35,11 @@
 export interface TargetRegistryOptions {
   beliefs: Beliefs;
   ownRegion: RegionName;
+  ownDomain: FailureDomainName;
   self: string;
-  regionOf: (failureDomain: FailureDomainName) => string | undefined;
+  /** Region of each failure domain. */
+  domains: Readonly<Record<string, string>>;
+  fleet: FleetMembers;
   coldOverage: number;
   coldSlack: number;
   now: () => number;
@@ -51,6 +55,27 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 };
 
+/** Each region's part of all requests: callers stand in every failure domain alike. */
+const demandOf = (domains: Readonly<Record<string, string>>): Map<RegionName, number> => {
+  const parts = new Map<RegionName, number>();
+  Object.values(domains).forEach((name) => {
+    const region = regionName(name);
+    parts.set(region, (parts.get(region) ?? 0) + 1);
+  });
+  return parts;
+};
+
+/** Each failure domain's part of its region's requests. */
+const domainDemandOf = (
+  domains: Readonly<Record<string, string>>,
+  region: RegionName,
+): Map<FailureDomainName, number> =>
+  new Map(
+    Object.entries(domains)
+      .filter(([, name]) => name === region)
+      .map(([domain]) => [failureDomainName(domain), 1]),
+  );
+
 /** All targets by service. */
 export class TargetRegistry {
   private readonly targets = new Map<TargetId, ReachableTarget>();
@@ -59,10 +84,13 @@
 
   private readonly services = new Map<ServiceName, Service>();
 
+  private readonly demand: ReadonlyMap<RegionName, number>;
+
   /** When each failure domain's last evacuation ended. */
   private readonly evacuationEnded = new Map<FailureDomainName, number>();
 
   constructor(private readonly options: TargetRegistryOptions) {
+    this.demand = demandOf(options.domains);
     options.beliefs.changes.subscribe((change) => this.take(change));
   }
 
@@ -70,13 +98,16 @@
   of(service: ServiceName): ServiceTargets {
     const known = this.pools.get(service);
     if (known) return known;
-    const { beliefs, ownRegion } = this.options;
+    const { beliefs, domains, ownDomain, ownRegion } = this.options;
     const created: ServiceTargets = {
       rankings: new Rankings(),
       pool: {
         targets: [],
         generation: 0,
         ownRegion,
+        ownDomain,
+        demand: this.demand,
+        domainDemand: domainDemandOf(domains, ownRegion),
         evacuated: (failureDomain) => beliefs.evacuated.has(failureDomain),
         coldShare: (target) => this.coldShareOf(target),
       },
@@ -96,17 +127,20 @@
   }
 
   private coldShareOf(target: PlacedTarget): number {
-    const { beliefs, self, coldOverage, coldSlack } = this.options;
+    const { fleet, self, coldOverage, coldSlack } = this.options;
     const service = this.services.get(target.service);
     const tolerated = (service?.coldRequestsPerSecond ?? 0) * coldOverage + coldSlack;
-    return coldShare(target.id, self, [...beliefs.instances.keys()], tolerated);
+    return coldShare(target.id, self, fleet.list(), tolerated);
   }
 
   private take(change: BeliefChange): void {
     if (change.kind === 'target') this.put(change.target);
     if (change.kind === 'target-gone') this.drop(change.id);
     if (change.kind === 'configuration') this.takeServices(change.configuration);
-    if (change.kind === 'evacuation' && !change.active) this.endEvacuation(change.failureDomain);
+    if (change.kind === 'evacuation') {
+      this.pools.forEach(({ pool }) => Object.assign(pool, { generation: pool.generation + 1 }));
+      if (!change.active) this.endEvacuation(change.failureDomain);
+    }
   }
 
   private takeServices(configuration: Configuration): void {
@@ -132,7 +166,10 @@
   private put(entry: TargetEntry): void {
     const known = this.targets.get(entry.id);
     const { placed } = known ?? this.add(entry);
-    placed.leaving = placed.leaving || entry.leaving;
+    if (entry.leaving && !placed.leaving) {
+      placed.leaving = true;
+      this.changePool(entry.service, (targets) => [...targets]);
+    }
     if (entry.coldForMs > 0)
       placed.coldUntil = Math.max(placed.coldUntil, this.options.now() + entry.coldForMs);
     if (entry.coldForMs === 0 && !this.evacuationEnded.has(entry.failureDomain))
@@ -140,7 +177,7 @@
   }
 
   private add(entry: TargetEntry): ReachableTarget {
-    const region = this.options.regionOf(entry.failureDomain) ?? '';
+    const region = this.options.domains[entry.failureDomain] ?? '';
     const placed = newTarget({
       id: entry.id,
       service: entry.service,
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -12,4 +12,6 @@
 export type { PlacedTarget, TargetFacts } from './placing/target';
 export { newTarget } from './placing/target';
 export type { Placement, PlacementOutcome, RejectionReason, ServicePool } from './placing/place';
+export type { Locality } from './placing/homeLean';
+export { homeLean } from './placing/homeLean';
 export { Rankings, place } from './placing/place';
--- a/scripts/summary.mjs
+++ b/scripts/summary.mjs
@@ -12,6 +12,10 @@
   process.exit(1);
 }
 const passed = results.numPassedTests ?? 0;
-const failed = (results.numFailedTests ?? 0) + (results.numFailedTestSuites ?? 0);
+// A file that does not load has no tests to fail; it counts as one failure.
+const unloaded = (results.testResults ?? []).filter(
+  (each) => each.status === 'failed' && each.assertionResults.every((t) => t.status !== 'failed'),
+).length;
+const failed = (results.numFailedTests ?? 0) + unloaded;
 const skipped = (results.numPendingTests ?? 0) + (results.numTodoTests ?? 0);
 console.log(`${passed} passed, ${failed} failed${skipped ? `, ${skipped} skipped` : ''}`);
