--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -222,6 +222,18 @@
   return 'rejected';
 };
 
+/** The final answer when time has run out. */
+const timeOut = (serving: Serving): ServeOutcome => {
+  const { request, ctx } = serving;
+  ctx.log.write('timed-out', request.id, {
+    sends: serving.sends,
+    tried: [...serving.tried],
+    waitedMs: Math.round(ctx.now() - request.arrivedAt),
+  });
+  serving.endNow('timed-out');
+  return 'timed-out';
+};
+
 /** The final answer after the last send. */
 const finish = async (
   serving: Serving,
@@ -234,6 +246,7 @@
   if (outcome.kind === 'not-run' && !mayHaveRun)
     return reject(serving, outcome.reason, REFUSED_RETRY_AFTER_MS);
   const { reason } = outcome;
+  if (reason === 'timeout') return timeOut(serving);
   ctx.log.write('failed', request.id, { reason, sends: serving.sends, mayHaveRun });
   answerOwn(res, { status: 502, message: `no usable answer: ${reason}` });
   return 'failed';
@@ -269,13 +282,7 @@
   ctx.budgetOf(request.service).earn(ctx.now());
   const dueMs = Math.max(0, request.finalAt - ctx.now());
   const timer = setTimeout(() => {
-    if (res.headersSent) return;
-    ctx.log.write('timed-out', request.id, {
-      sends: serving.sends,
-      tried: [...serving.tried],
-      waitedMs: Math.round(ctx.now() - request.arrivedAt),
-    });
-    serving.endNow('timed-out');
+    if (!res.headersSent) timeOut(serving);
   }, dueMs);
   const left = () => {
     if (res.writableFinished) return;
