Give a send up only past the service's longest answers of late

Change: the wait is 1.3 times the service's longest answer, which fades with a half-life of 10 s; at most three quarters of the time left.

--- a/packages/gateway/src/requests/__tests__/repeatPolicy.test.ts
+++ b/packages/gateway/src/requests/__tests__/repeatPolicy.test.ts
@@ -31,13 +31,12 @@
     expect(table).toMatchSnapshot();
   });
 
-  it('wait as long as the target usually takes, and longer the more that varies', () => {
-    const waits = [
-      silentAfter(1200, undefined),
-      silentAfter(1200, { answerMs: 150, deviationMs: 20 }),
-      silentAfter(1200, { answerMs: 300, deviationMs: 60 }),
-      silentAfter(1200, { answerMs: 600, deviationMs: 250 }),
-    ];
-    expect(waits).toEqual([900, 350, 540, 900]);
+  it('wait out the longest answers of late, so that work on a new object is not given up', () => {
+    // Symptom: lookups of new objects take over a second on a calm day.
+    // Sequence: the object is new to its target, which takes 480 ms; at 350 ms
+    // the send is given up and the next target starts on it, new as well.
+    // Cause: the wait followed the mean of answers from memory.
+    const waits = [0, 150, 480, 2000].map((longestMs) => silentAfter(1200, longestMs));
+    expect(waits).toEqual([900, 350, 624, 900]);
   });
 });
--- a/packages/gateway/src/requests/repeatPolicy.ts
+++ b/packages/gateway/src/requests/repeatPolicy.ts
@@ -12,9 +12,9 @@
 const FIRST_SERVER_ERROR = 500;
 /** A send with less time left than this, ms, is not worth making. */
 export const LEAST_SEND_MS = 30;
-/** A send is silent past the target's usual time and this many deviations: the factor of TCP's retransmission timer. */
-const SILENT_DEVIATIONS = 4;
-/** Shortest wait for an answer before a repeat, ms: over the time of an answer from memory with the way there and back. */
+/** A send is silent past this many times the service's longest answer of late: work varies by a third. */
+const SILENT_TIMES = 1.3;
+/** Shortest wait for an answer before a repeat, ms: a few ways between any two regions. */
 const SILENT_LEAST_MS = 350;
 /** Longest wait before a repeat, as a part of the time left: a repeat needs some itself. */
 const SILENT_MOST_PART = 0.75;
@@ -32,15 +32,12 @@
 /**
  * How long to wait for a send's answer before a repeat is thought of, ms.
  * Connections go silent without a sign, and answers get lost; but a target
- * that is slow as it has much to do gets no better by a second send. So the
- * wait follows what the target's answers take, and how much they vary.
+ * that is slow as it has much to do, or the object is new to it, gets no
+ * better by a second send. `longestMs` is the service's longest answer time
+ * of late; 0 when none is known.
  */
-export const silentAfter = (
-  leftMs: number,
-  usual: { answerMs: number; deviationMs: number } | undefined,
-): number => {
+export const silentAfter = (leftMs: number, longestMs: number): number => {
   const most = leftMs * SILENT_MOST_PART;
-  if (!usual) return most;
-  const expected = usual.answerMs + SILENT_DEVIATIONS * usual.deviationMs;
-  return Math.min(most, Math.max(SILENT_LEAST_MS, expected));
+  if (longestMs === 0) return most;
+  return Math.min(most, Math.max(SILENT_LEAST_MS, longestMs * SILENT_TIMES));
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -139,6 +139,7 @@
     placed.load.own -= 1;
     const tookMs = ctx.now() - sentAt;
     learn(placed, result, tookMs, ctx.now());
+    if (result.kind === 'answer') ctx.registry.of(request.service).longest.take(tookMs, ctx.now());
     span.end();
     const name = result.kind === 'answer' ? String(result.status) : result.reason;
     ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
@@ -192,11 +193,9 @@
   const { request, ctx } = serving;
   if (!repeatable(request.route.kind) || serving.sends >= request.route.maxAttempts)
     return undefined;
+  const { longest } = ctx.registry.of(request.service);
   const known = placed.answerMs !== undefined && placed.coldUntil <= ctx.now();
-  const waitMs = silentAfter(
-    request.finalAt - ctx.now(),
-    known ? { answerMs: placed.answerMs ?? 0, deviationMs: placed.answerDeviationMs } : undefined,
-  );
+  const waitMs = silentAfter(request.finalAt - ctx.now(), known ? longest.now(ctx.now()) : 0);
   let timer: NodeJS.Timeout | undefined;
   const silence = new Promise<'silent'>((resolve) => {
     timer = setTimeout(() => resolve('silent'), waitMs);
--- a/packages/gateway/src/requests/targetHealth.ts
+++ b/packages/gateway/src/requests/targetHealth.ts
@@ -24,14 +24,8 @@
 
 const learnAnswer = (target: PlacedTarget, ms: number): void => {
   target.failures = 0;
-  if (target.answerMs === undefined) {
-    target.answerMs = ms;
-    target.answerDeviationMs = ms / 2;
-    return;
-  }
-  const off = ms - target.answerMs;
-  target.answerMs += SMOOTHING * off;
-  target.answerDeviationMs += SMOOTHING * (Math.abs(off) - target.answerDeviationMs);
+  target.answerMs =
+    target.answerMs === undefined ? ms : target.answerMs + SMOOTHING * (ms - target.answerMs);
 };
 
 const learnNotRun = (
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -5,7 +5,7 @@
 import type { Beliefs, BeliefChange, TargetEntry } from '@cardamomladder/fleet';
 import type { Configuration, Service } from '@cardamomladder/routing';
 import type { PlacedTarget, ServicePool } from '@cardamomladder/steering';
-import { Rankings, coldShare, newTarget } from '@cardamomladder/steering';
+import { LongestAnswer, Rankings, coldShare, newTarget } from '@cardamomladder/steering';
 import type {
   FailureDomainName,
   RegionName,
@@ -29,6 +29,8 @@
 export interface ServiceTargets {
   pool: ServicePool;
   rankings: Rankings;
+  /** The longest answer time of late. */
+  longest: LongestAnswer;
 }
 
 /** What the registry needs of the instance. */
@@ -101,6 +103,7 @@
     const { beliefs, domains, ownDomain, ownRegion } = this.options;
     const created: ServiceTargets = {
       rankings: new Rankings(),
+      longest: new LongestAnswer(),
       pool: {
         targets: [],
         generation: 0,
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -31,8 +31,6 @@
   coldSends: RollingCount;
   /** Smoothed time from send to answer, ms; undefined before the first answer. */
   answerMs?: number;
-  /** Smoothed deviation of the answer time from `answerMs`. */
-  answerDeviationMs: number;
 }
 
 const COLD_WINDOW_MS = 1000;
@@ -46,5 +44,4 @@
   failures: 0,
   load: new Load(),
   coldSends: new RollingCount(COLD_WINDOW_MS),
-  answerDeviationMs: 0,
 });
