explain and check commands; sends that reached nobody don't use up a request's targets

Cause, found by explaining failed requests of a real run: (1) a lookup whose first target answered 500 and whose second refused got a 502 of our own; (2) targets that had just gone used up the two sends that a route allows. Change: a target's own failure is passed on when the next send brings none; sends that reached nobody count neither against the route nor the budget, two at most; lines of rejections tell the targets seen, the age of their reports and the versions in force; cardamomladder explain ID [FILES], check FILE.

--- /dev/null
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -0,0 +1,29 @@
+/** The stories of three failed requests, told from lines of real runs. */
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { explainRequest } from '../commands/explain';
+
+const recorded = {
+  name: 'recorded',
+  text: readFileSync(join(import.meta.dirname, '../__fixtures__/failedRequests.log.txt'), 'utf8'),
+};
+
+describe('explain', () => {
+  it('tells why a request was refused: no room at its targets', () => {
+    expect(explainRequest('36f54d4f0acc95f9', [recorded])).toMatchSnapshot();
+  });
+
+  it('tells why the outcome of a booking is unknown: its connection closed after it was sent', () => {
+    expect(explainRequest('fe44b98c20203345', [recorded])).toMatchSnapshot();
+  });
+
+  it('tells why a request ran out of time: its target did not answer', () => {
+    expect(explainRequest('236d8b199255ad64', [recorded])).toMatchSnapshot();
+  });
+
+  it('says when lines were left out, and survives lines that are not ours', () => {
+    const text = 'garbage\n{"broken":\n{"message":"send","request":"x","leftOut":3}\n';
+    expect(explainRequest('unknown', [{ name: 'log', text }])).toMatchSnapshot();
+  });
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,8 +5,10 @@
  */
 import { cac } from 'cac';
 import { applyCommand, showCommand, validateCommand } from './commands/console';
+import { checkCommand } from './commands/check';
 import { demoCommand } from './commands/demo';
 import { entryCommand } from './commands/entry';
+import { explainCommand } from './commands/explain';
 import { loadCommand } from './commands/load';
 import { platformCommand, targetCommand } from './commands/standin';
 
@@ -140,6 +142,19 @@
     ),
   );
 
+cli
+  .command(
+    'explain <id> [...files]',
+    'Tell the story of one request from log files or standard input',
+  )
+  .example('cardamomladder explain 9c41d07be2a35f68 north-1.log north-2.log')
+  .action((id: string, files: string[]) => run(explainCommand(id, files)));
+
+cli
+  .command('check <file>', "Validate an instance's settings file")
+  .example('cardamomladder check settings.json')
+  .action((file: string) => run(checkCommand(file)));
+
 cli.help();
 cli.version('0.1.0');
 cli.parse();
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -112,6 +112,10 @@
     registry,
     budgetOf,
     fleetSize: () => fleet.size(),
+    versions: () => ({
+      configuration: beliefs.configuration?.version ?? 0,
+      revision: beliefs.revision,
+    }),
     metrics,
     log,
     now,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -42,7 +42,12 @@
 
 /** Writes decisions. */
 export interface DecisionLog {
-  write: (kind: DecisionKind, request: string | undefined, fields: LogFields) => void;
+  /** Fields that cost something to gather are given as a function, called only when the line is written. */
+  write: (
+    kind: DecisionKind,
+    request: string | undefined,
+    fields: LogFields | (() => LogFields),
+  ) => void;
 }
 
 /** A decision log over `log`; `now` is the steady clock, ms. */
@@ -52,7 +57,8 @@
     write: (kind, request, fields) => {
       const leftOut = limit.admit(kind, now());
       if (leftOut === undefined) return;
-      log.info(kind, { request, ...fields, ...(leftOut > 0 ? { leftOut } : {}) });
+      const gathered = typeof fields === 'function' ? fields() : fields;
+      log.info(kind, { request, ...gathered, ...(leftOut > 0 ? { leftOut } : {}) });
     },
   };
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -5,8 +5,8 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import { SpanKind } from '@opentelemetry/api';
 import { repeatable } from '@cardamomladder/routing';
-import type { RepeatBudget } from '@cardamomladder/steering';
-import { place } from '@cardamomladder/steering';
+import type { Locality, RepeatBudget } from '@cardamomladder/steering';
+import { describeTargets, place } from '@cardamomladder/steering';
 import { tracer } from '@cardamomladder/telemetry';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type { ServiceName, TargetId } from '@cardamomladder/types';
@@ -30,6 +30,8 @@
   budgetOf: (service: ServiceName) => RepeatBudget;
   /** Instances that share the repeat budget. */
   fleetSize: () => number;
+  /** Versions of what is believed, for the log. */
+  versions: () => { configuration: number; revision: number };
   metrics: GatewayMetrics;
   log: DecisionLog;
   now: () => number;
@@ -38,6 +40,9 @@
 /** How a request ended. */
 export type ServeOutcome = 'answered' | 'rejected' | 'failed' | 'timed-out' | 'caller-left';
 
+/** Most sends that reached nobody, beside those that the route allows: half a failure domain may have gone at once. */
+const UNREACHED_MOST = 2;
+
 /** The state of one request while it is served. */
 class Serving {
   readonly tried = new Set<TargetId>();
@@ -56,12 +61,26 @@
     readonly ctx: ServeContext,
   ) {}
 
+  /** Sends that reached nobody: no connection was made. */
+  private unreached = 0;
+
   /** Counts a send to `target`. */
   countSend(target: TargetId): void {
     this.sends += 1;
     this.tried.add(target);
   }
 
+  /** Notes that a send reached nobody. */
+  countUnreached(): void {
+    this.unreached += 1;
+  }
+
+  /** True while one more send keeps to the route's limit; those that reached nobody count only against runaway tries. */
+  get maySendMore(): boolean {
+    const { maxAttempts } = this.request.route;
+    return this.sends - this.unreached < maxAttempts && this.sends < maxAttempts + UNREACHED_MOST;
+  }
+
   /** Notes the send that is under way. */
   await(attempt: Attempt): void {
     this.current = attempt;
@@ -106,6 +125,8 @@
   });
 };
 
+type TargetAnswer = Extract<AttemptOutcome, { kind: 'answer' }>;
+
 /** A send under way; `outcome` resolves once its lesson is taken. */
 interface Send {
   outcome: Promise<AttemptOutcome>;
@@ -149,6 +170,9 @@
   return { outcome, cancel: () => attempt.cancel('timeout') };
 };
 
+const localityOf = ({ route }: CallerRequest): Locality =>
+  route.kind === 'download' ? 'near' : 'balanced';
+
 /** Chooses the next target, or says why there is none. */
 const choose = (serving: Serving) => {
   const { request, ctx, tried } = serving;
@@ -157,7 +181,7 @@
   return place(
     {
       key: request.key,
-      locality: route.kind === 'download' ? 'near' : 'balanced',
+      locality: localityOf(request),
       homeRegions: route.homeRegions,
       tried,
       now: ctx.now(),
@@ -170,13 +194,16 @@
 /** The target of one more send, if the request, its time and the budget allow one. */
 const nextTarget = (serving: Serving, outcome: AttemptOutcome): ReachableTarget | undefined => {
   const { request, ctx, sends } = serving;
-  if (serving.ended || sends >= request.route.maxAttempts) return undefined;
+  if (serving.ended || !serving.maySendMore) return undefined;
   if (!worthRepeating(request.route.kind, outcome)) return undefined;
   if (request.finalAt - ctx.now() < LEAST_SEND_MS) return undefined;
   const choice = choose(serving);
   if (choice.kind === 'rejected') return undefined;
   const target = ctx.registry.reach(choice.target.id);
-  const granted = target && ctx.budgetOf(request.service).spend(ctx.now(), ctx.fleetSize());
+  // A send that reached nobody put no load on any target.
+  const free = outcome.kind === 'not-run' && outcome.reason === 'unreachable';
+  const granted =
+    target && (free || ctx.budgetOf(request.service).spend(ctx.now(), ctx.fleetSize()));
   ctx.metrics.repeats.inc({ granted: granted ? 'yes' : 'no' });
   if (!granted) ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
   return granted ? target : undefined;
@@ -191,8 +218,7 @@
   { placed }: ReachableTarget,
 ): Promise<ReachableTarget | undefined> => {
   const { request, ctx } = serving;
-  if (!repeatable(request.route.kind) || serving.sends >= request.route.maxAttempts)
-    return undefined;
+  if (!repeatable(request.route.kind) || !serving.maySendMore) return undefined;
   const { longest } = ctx.registry.of(request.service);
   const known = placed.answerMs !== undefined && placed.coldUntil <= ctx.now();
   const waitMs = silentAfter(request.finalAt - ctx.now(), known ? longest.now(ctx.now()) : 0);
@@ -208,15 +234,28 @@
 /** A caller whose targets refused or could not be reached may come back after this, ms. */
 const REFUSED_RETRY_AFTER_MS = 150;
 
+/** What placing saw, for the log: the targets, how old their reports are, and the versions in force. */
+const seenBy = ({ request, ctx }: Serving) => {
+  const { pool, rankings } = ctx.registry.of(request.service);
+  return {
+    targets: describeTargets(request.key, localityOf(request), pool, rankings, ctx.now()),
+    known: pool.targets.length,
+    configuration: ctx.versions().configuration,
+    revision: ctx.versions().revision,
+  };
+};
+
 const reject = (serving: Serving, reason: string, retryAfterMs: number): ServeOutcome => {
-  const { request, res, ctx } = serving;
+  const { request, res, ctx, sends } = serving;
   ctx.metrics.rejections.inc({ reason });
-  ctx.log.write('rejected', request.id, {
+  ctx.log.write('rejected', request.id, () => ({
     reason,
-    sends: serving.sends,
+    sends,
     retryAfterMs,
+    route: request.route.name,
     service: request.service,
-  });
+    ...seenBy(serving),
+  }));
   answerOwn(res, { status: 503, message: `not run: ${reason}`, retryAfterMs });
   return 'rejected';
 };
@@ -257,6 +296,7 @@
   if (choice.kind === 'rejected') return reject(serving, choice.reason, choice.retryAfterMs);
   let target = serving.ctx.registry.reach(choice.target.id);
   let mayHaveRun = false;
+  let failure: TargetAnswer | undefined;
   while (target) {
     const send = startSend(serving, target);
     const afterSilence = await nextAfterSilence(serving, send, target);
@@ -264,8 +304,11 @@
     const outcome = await send.outcome;
     if (serving.ended) return serving.ended;
     mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
+    if (outcome.kind === 'answer') failure = outcome;
+    if (outcome.kind === 'not-run' && outcome.reason === 'unreachable') serving.countUnreached();
     target = afterSilence ?? nextTarget(serving, outcome);
-    if (!target) return finish(serving, outcome, mayHaveRun);
+    // A target's own failure is a better answer than none from the next one.
+    if (!target) return finish(serving, failure ?? outcome, mayHaveRun);
   }
   return reject(serving, 'no-target', REFUSED_RETRY_AFTER_MS);
 };
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -15,4 +15,6 @@
 export type { Placement, PlacementOutcome, RejectionReason, ServicePool } from './placing/place';
 export type { Locality } from './placing/homeLean';
 export { homeLean } from './placing/homeLean';
+export type { SeenTarget } from './placing/describe';
+export { describeTargets } from './placing/describe';
 export { Rankings, place } from './placing/place';
--- /dev/null
+++ b/packages/steering/src/placing/describe.ts
@@ -0,0 +1,46 @@
+/** What placing saw of an object's first targets, for the log line of a rejection. */
+import type { ObjectKey } from '@cardamomladder/types';
+import type { Locality } from './homeLean';
+import type { Rankings, ServicePool } from './place';
+import type { PlacedTarget } from './target';
+
+/** Targets described: those that could have taken the request and the next one. */
+const DESCRIBED = 3;
+
+/** One target as placing saw it; ages in ms. */
+export interface SeenTarget {
+  id: string;
+  /** Requests there by the last report and own sends, as far as believed. */
+  busy: number;
+  slots: number;
+  reportAgeMs?: number;
+  /** Why it was out of the question, if it was. */
+  out?: 'leaving' | 'evacuated' | 'avoided' | 'cold';
+}
+
+const reasonOut = (target: PlacedTarget, pool: ServicePool, now: number): SeenTarget['out'] => {
+  if (target.leaving) return 'leaving';
+  if (pool.evacuated(target.failureDomain)) return 'evacuated';
+  if (target.avoidUntil > now) return 'avoided';
+  return target.coldUntil > now ? 'cold' : undefined;
+};
+
+/** The object's first targets as they are seen at `now`. */
+export const describeTargets = (
+  key: ObjectKey,
+  locality: Locality,
+  pool: ServicePool,
+  rankings: Rankings,
+  now: number,
+): SeenTarget[] =>
+  rankings
+    .of(key, locality, pool)
+    .slice(0, DESCRIBED)
+    .map((target) => ({
+      id: target.id,
+      busy: Math.round(target.load.busyAt(now) * 10) / 10,
+      slots: target.slots,
+      reportAgeMs:
+        target.load.reportedAt === undefined ? undefined : Math.round(now - target.load.reportedAt),
+      out: reasonOut(target, pool, now),
+    }));
