--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -4,10 +4,9 @@
 import type { InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
 import { Beliefs, follow, startRegistration } from '@cardamomladder/fleet';
 import type { InstanceSettings } from '@cardamomladder/settings';
-import { RepeatBudget } from '@cardamomladder/steering';
 import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
 import type { GatewayMetrics, LineWriter } from '@cardamomladder/telemetry';
-import type { ServiceName, SocketAddress } from '@cardamomladder/types';
+import type { SocketAddress } from '@cardamomladder/types';
 import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
 import { logBeliefs } from './beliefLog';
 import { decisionLog } from './decisionLog';
@@ -17,6 +16,7 @@
 import { askPeers } from './peers/ask';
 import { peerRouter } from './peers/router';
 import { VouchedPeers } from './peers/vouched';
+import { repeatBudgets } from './requests/repeatBudgets';
 import { createCallerServer } from './server/callerServer';
 import { nearest } from './server/directory';
 import {
@@ -92,25 +92,12 @@
     coldSlack: settings.bounds.coldSlack,
     now,
   });
-  const budgets = new Map<ServiceName, RepeatBudget>();
-  const budgetOf = (service: ServiceName): RepeatBudget => {
-    const known = budgets.get(service);
-    if (known) return known;
-    const { repeatRatio, repeatExtra, repeatWindowSeconds } = settings.bounds;
-    const budget = new RepeatBudget({
-      ratio: repeatRatio,
-      extra: repeatExtra,
-      windowMs: repeatWindowSeconds * MS_PER_SECOND,
-    });
-    budgets.set(service, budget);
-    return budget;
-  };
   const { server, connections } = createCallerServer({
     beliefs,
     phase,
     wire,
     registry,
-    budgetOf,
+    budgetOf: repeatBudgets(() => settings.bounds),
     fleetSize: () => fleet.size(),
     versions: () => ({
       configuration: beliefs.configuration?.version ?? 0,
--- /dev/null
+++ b/packages/gateway/src/requests/send.ts
@@ -0,0 +1,85 @@
+/** One send of a request to one target: its headers, its bookkeeping and what it teaches. */
+import type { OutgoingHttpHeaders } from 'node:http';
+import { SpanKind } from '@opentelemetry/api';
+import { tracer } from '@cardamomladder/telemetry';
+import type { AttemptOutcome } from '../targets/attempt';
+import { sendAttempt } from '../targets/attempt';
+import { FRESH_IDLE_MS } from '../targets/connections';
+import type { ReachableTarget } from '../targets/registry';
+import { passedHeaders } from './answers';
+import type { Serving } from './serving';
+import { learn } from './targetHealth';
+
+const spans = tracer('gateway');
+
+const sendHeaders = (serving: Serving, target: ReachableTarget): OutgoingHttpHeaders => {
+  const { request, req, ctx } = serving;
+  const names = ctx.wire.headers;
+  const headers = passedHeaders(req);
+  delete headers.expect;
+  headers[names.waitMs] = Math.max(1, Math.floor(request.finalAt - ctx.now()));
+  headers[names.onlyTarget] = target.placed.id;
+  if (request.body) headers['content-length'] = request.body.length;
+  return headers;
+};
+
+const logSend = (
+  { request, ctx, sends }: Serving,
+  { placed }: ReachableTarget,
+  result: string,
+  ms: number,
+): void => {
+  const { load } = placed;
+  ctx.log.write('send', request.id, {
+    target: placed.id,
+    send: sends,
+    result,
+    ms: Math.round(ms),
+    busy: load.own + load.others,
+    slots: placed.slots,
+    loadAgeMs: load.reportedAt === undefined ? undefined : Math.round(ctx.now() - load.reportedAt),
+  });
+};
+
+/** A send under way; `outcome` resolves once its lesson is taken. */
+export interface Send {
+  outcome: Promise<AttemptOutcome>;
+  cancel: () => void;
+}
+
+/** Sends to one target. */
+export const startSend = (serving: Serving, target: ReachableTarget): Send => {
+  const { request, ctx } = serving;
+  const { placed, connections } = target;
+  const sentAt = ctx.now();
+  if (request.route.kind === 'non-idempotent') connections.closeIdleOver(FRESH_IDLE_MS);
+  if (placed.coldUntil > sentAt) placed.coldSends.add(sentAt);
+  serving.countSend(placed.id);
+  placed.load.own += 1;
+  const span = spans.startSpan('gateway.send', { kind: SpanKind.CLIENT });
+  const attempt = sendAttempt({
+    host: target.host,
+    port: target.port,
+    method: request.method,
+    path: request.path,
+    headers: sendHeaders(serving, target),
+    body: request.body,
+    requestId: request.id,
+    timeoutMs: request.finalAt - sentAt,
+    connections,
+    wire: ctx.wire,
+  });
+  serving.await(attempt);
+  const outcome = attempt.outcome.then((result) => {
+    placed.load.own -= 1;
+    const tookMs = ctx.now() - sentAt;
+    learn(placed, result, tookMs, ctx.now());
+    if (result.kind === 'answer') ctx.registry.of(request.service).longest.take(tookMs, ctx.now());
+    span.end();
+    const name = result.kind === 'answer' ? String(result.status) : result.reason;
+    ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
+    if (name !== '200') logSend(serving, target, name, tookMs);
+    return result;
+  });
+  return { outcome, cancel: () => attempt.cancel('timeout') };
+};
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -2,174 +2,22 @@
  * Serves one request: place, send, repeat where that is allowed and worth it,
  * and give one final answer no later than it is due.
  */
-import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
-import { SpanKind } from '@opentelemetry/api';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { repeatable } from '@cardamomladder/routing';
-import type { Locality, RepeatBudget } from '@cardamomladder/steering';
+import type { Locality } from '@cardamomladder/steering';
 import { describeTargets, place } from '@cardamomladder/steering';
-import { tracer } from '@cardamomladder/telemetry';
-import type { GatewayMetrics } from '@cardamomladder/telemetry';
-import type { ServiceName, TargetId } from '@cardamomladder/types';
-import type { DecisionLog } from '../decisionLog';
-import type { Attempt, AttemptOutcome } from '../targets/attempt';
-import { sendAttempt } from '../targets/attempt';
-import { FRESH_IDLE_MS } from '../targets/connections';
-import type { ReachableTarget, TargetRegistry } from '../targets/registry';
-import type { Wire } from '../wireNames';
-import { answerOwn, passedHeaders, relay } from './answers';
+import type { AttemptOutcome } from '../targets/attempt';
+import type { ReachableTarget } from '../targets/registry';
+import { answerOwn, relay } from './answers';
 import type { CallerRequest } from './callerRequest';
 import { LEAST_SEND_MS, silentAfter, worthRepeating } from './repeatPolicy';
-import { learn } from './targetHealth';
-
-const spans = tracer('gateway');
-
-/** What serving needs of the instance. */
-export interface ServeContext {
-  wire: Wire;
-  registry: TargetRegistry;
-  budgetOf: (service: ServiceName) => RepeatBudget;
-  /** Instances that share the repeat budget. */
-  fleetSize: () => number;
-  /** Versions of what is believed, for the log. */
-  versions: () => { configuration: number; revision: number };
-  metrics: GatewayMetrics;
-  log: DecisionLog;
-  now: () => number;
-}
-
-/** How a request ended. */
-export type ServeOutcome = 'answered' | 'rejected' | 'failed' | 'timed-out' | 'caller-left';
-
-/** Most sends that reached nobody, beside those that the route allows: half a failure domain may have gone at once. */
-const UNREACHED_MOST = 2;
-
-/** The state of one request while it is served. */
-class Serving {
-  readonly tried = new Set<TargetId>();
-
-  sends = 0;
-
-  /** Set once the caller has gone or the final answer was given. */
-  ended: ServeOutcome | undefined;
-
-  private current: Attempt | undefined;
-
-  constructor(
-    readonly request: CallerRequest,
-    readonly req: IncomingMessage,
-    readonly res: ServerResponse,
-    readonly ctx: ServeContext,
-  ) {}
-
-  /** Sends that reached nobody: no connection was made. */
-  private unreached = 0;
-
-  /** Counts a send to `target`. */
-  countSend(target: TargetId): void {
-    this.sends += 1;
-    this.tried.add(target);
-  }
-
-  /** Notes that a send reached nobody. */
-  countUnreached(): void {
-    this.unreached += 1;
-  }
-
-  /** True while one more send keeps to the route's limit; those that reached nobody count only against runaway tries. */
-  get maySendMore(): boolean {
-    const { maxAttempts } = this.request.route;
-    return this.sends - this.unreached < maxAttempts && this.sends < maxAttempts + UNREACHED_MOST;
-  }
-
-  /** Notes the send that is under way. */
-  await(attempt: Attempt): void {
-    this.current = attempt;
-  }
-
-  /** Ends the request from outside its sends: the caller left, or the answer is due. */
-  endNow(outcome: 'timed-out' | 'caller-left'): void {
-    if (this.ended) return;
-    this.ended = outcome;
-    if (outcome === 'timed-out' && !this.res.headersSent)
-      answerOwn(this.res, { status: 504, message: 'no answer in time' });
-    this.current?.cancel(outcome === 'timed-out' ? 'timeout' : 'cancelled');
-  }
-}
-
-const sendHeaders = (serving: Serving, target: ReachableTarget): OutgoingHttpHeaders => {
-  const { request, req, ctx } = serving;
-  const names = ctx.wire.headers;
-  const headers = passedHeaders(req);
-  delete headers.expect;
-  headers[names.waitMs] = Math.max(1, Math.floor(request.finalAt - ctx.now()));
-  headers[names.onlyTarget] = target.placed.id;
-  if (request.body) headers['content-length'] = request.body.length;
-  return headers;
-};
-
-const logSend = (
-  { request, ctx, sends }: Serving,
-  { placed }: ReachableTarget,
-  result: string,
-  ms: number,
-): void => {
-  const { load } = placed;
-  ctx.log.write('send', request.id, {
-    target: placed.id,
-    send: sends,
-    result,
-    ms: Math.round(ms),
-    busy: load.own + load.others,
-    slots: placed.slots,
-    loadAgeMs: load.reportedAt === undefined ? undefined : Math.round(ctx.now() - load.reportedAt),
-  });
-};
+import type { Send } from './send';
+import { startSend } from './send';
+import type { ServeContext, ServeOutcome } from './serving';
+import { Serving } from './serving';
 
 type TargetAnswer = Extract<AttemptOutcome, { kind: 'answer' }>;
 
-/** A send under way; `outcome` resolves once its lesson is taken. */
-interface Send {
-  outcome: Promise<AttemptOutcome>;
-  cancel: () => void;
-}
-
-/** Sends to one target. */
-const startSend = (serving: Serving, target: ReachableTarget): Send => {
-  const { request, ctx } = serving;
-  const { placed, connections } = target;
-  const sentAt = ctx.now();
-  if (request.route.kind === 'non-idempotent') connections.closeIdleOver(FRESH_IDLE_MS);
-  if (placed.coldUntil > sentAt) placed.coldSends.add(sentAt);
-  serving.countSend(placed.id);
-  placed.load.own += 1;
-  const span = spans.startSpan('gateway.send', { kind: SpanKind.CLIENT });
-  const attempt = sendAttempt({
-    host: target.host,
-    port: target.port,
-    method: request.method,
-    path: request.path,
-    headers: sendHeaders(serving, target),
-    body: request.body,
-    requestId: request.id,
-    timeoutMs: request.finalAt - sentAt,
-    connections,
-    wire: ctx.wire,
-  });
-  serving.await(attempt);
-  const outcome = attempt.outcome.then((result) => {
-    placed.load.own -= 1;
-    const tookMs = ctx.now() - sentAt;
-    learn(placed, result, tookMs, ctx.now());
-    if (result.kind === 'answer') ctx.registry.of(request.service).longest.take(tookMs, ctx.now());
-    span.end();
-    const name = result.kind === 'answer' ? String(result.status) : result.reason;
-    ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
-    if (name !== '200') logSend(serving, target, name, tookMs);
-    return result;
-  });
-  return { outcome, cancel: () => attempt.cancel('timeout') };
-};
-
 const localityOf = ({ route }: CallerRequest): Locality =>
   route.kind === 'download' ? 'near' : 'balanced';
 
--- /dev/null
+++ b/packages/gateway/src/requests/serving.ts
@@ -0,0 +1,84 @@
+/** The state of one request while it is served, and what serving needs of the instance. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RepeatBudget } from '@cardamomladder/steering';
+import type { GatewayMetrics } from '@cardamomladder/telemetry';
+import type { ServiceName, TargetId } from '@cardamomladder/types';
+import type { DecisionLog } from '../decisionLog';
+import type { Attempt } from '../targets/attempt';
+import type { TargetRegistry } from '../targets/registry';
+import type { Wire } from '../wireNames';
+import { answerOwn } from './answers';
+import type { CallerRequest } from './callerRequest';
+
+/** What serving needs of the instance. */
+export interface ServeContext {
+  wire: Wire;
+  registry: TargetRegistry;
+  budgetOf: (service: ServiceName) => RepeatBudget;
+  /** Instances that share the repeat budget. */
+  fleetSize: () => number;
+  /** Versions of what is believed, for the log. */
+  versions: () => { configuration: number; revision: number };
+  metrics: GatewayMetrics;
+  log: DecisionLog;
+  now: () => number;
+}
+
+/** How a request ended. */
+export type ServeOutcome = 'answered' | 'rejected' | 'failed' | 'timed-out' | 'caller-left';
+
+/** Most sends that reached nobody, beside those that the route allows: half a failure domain may have gone at once. */
+const UNREACHED_MOST = 2;
+
+/** The state of one request while it is served. */
+export class Serving {
+  readonly tried = new Set<TargetId>();
+
+  sends = 0;
+
+  /** Set once the caller has gone or the final answer was given. */
+  ended: ServeOutcome | undefined;
+
+  private current: Attempt | undefined;
+
+  constructor(
+    readonly request: CallerRequest,
+    readonly req: IncomingMessage,
+    readonly res: ServerResponse,
+    readonly ctx: ServeContext,
+  ) {}
+
+  /** Sends that reached nobody: no connection was made. */
+  private unreached = 0;
+
+  /** Counts a send to `target`. */
+  countSend(target: TargetId): void {
+    this.sends += 1;
+    this.tried.add(target);
+  }
+
+  /** Notes that a send reached nobody. */
+  countUnreached(): void {
+    this.unreached += 1;
+  }
+
+  /** True while one more send keeps to the route's limit; those that reached nobody count only against runaway tries. */
+  get maySendMore(): boolean {
+    const { maxAttempts } = this.request.route;
+    return this.sends - this.unreached < maxAttempts && this.sends < maxAttempts + UNREACHED_MOST;
+  }
+
+  /** Notes the send that is under way. */
+  await(attempt: Attempt): void {
+    this.current = attempt;
+  }
+
+  /** Ends the request from outside its sends: the caller left, or the answer is due. */
+  endNow(outcome: 'timed-out' | 'caller-left'): void {
+    if (this.ended) return;
+    this.ended = outcome;
+    if (outcome === 'timed-out' && !this.res.headersSent)
+      answerOwn(this.res, { status: 504, message: 'no answer in time' });
+    this.current?.cancel(outcome === 'timed-out' ? 'timeout' : 'cancelled');
+  }
+}
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -12,8 +12,8 @@
 import { answerOwn } from '../requests/answers';
 import type { CallerRequest } from '../requests/callerRequest';
 import { finalAnswerAt, hasBody, placingKey, requestIdOf } from '../requests/callerRequest';
-import type { ServeContext, ServeOutcome } from '../requests/serve';
 import { serve } from '../requests/serve';
+import type { ServeContext, ServeOutcome } from '../requests/serving';
 import { CallerConnections } from './callerConnections';
 
 const spans = tracer('gateway');
