A late watch answer can't bring back a target that a peer's list had removed

Cause: a change was compared with the record held, and none is held for a removed key; while a watch waits, a peer's list may bring a later state. Ruled out: keeping tombstones (the revision up to which all is known says it). Change: a watch's changes at or below that revision are passed over; a failed renewal can't leave the registration marked busy. Figures: the new test before: the removed target is back; after: it is not.

--- /dev/null
+++ b/packages/fleet/src/__tests__/beliefs.test.ts
@@ -0,0 +1,103 @@
+/** Beliefs only move forward, whatever order changes come in. */
+import fc from 'fast-check';
+import { okAsync } from 'neverthrow';
+import { describe, expect, it } from 'vitest';
+import type { Configuration } from '@cardamomladder/routing';
+import {
+  configurationVersion,
+  failureDomainName,
+  serviceName,
+  socketAddress,
+  targetId,
+} from '@cardamomladder/types';
+import type { FactChange, FactList, Store } from '..';
+import { Beliefs, follow } from '..';
+
+const configuration = (version: number): Configuration => ({
+  version: configurationVersion(version),
+  routes: [],
+  services: [],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+const targetAt = (id: string, revision: number): FactChange => ({
+  key: `targets/${id}`,
+  revision,
+  fact: {
+    kind: 'target',
+    target: {
+      id: targetId(id),
+      service: serviceName('s'),
+      address: socketAddress('127.0.0.1:1'),
+      failureDomain: failureDomainName('north-a'),
+      slots: 1,
+      leaving: false,
+      coldForMs: 0,
+    },
+  },
+});
+const sleep = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+describe('beliefs', () => {
+  it('never put an older configuration in force', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.integer({ min: 1, max: 50 }), fc.integer({ min: 1, max: 50 })), {
+          maxLength: 60,
+        }),
+        (writes) => {
+          const beliefs = new Beliefs();
+          let inForce = 0;
+          writes.forEach(([revision, version]) => {
+            const fact = { kind: 'configuration' as const, configuration: configuration(version) };
+            beliefs.take({ key: 'configuration', revision, fact });
+            const now = beliefs.configuration?.version ?? 0;
+            expect(now).toBeGreaterThanOrEqual(inForce);
+            inForce = now;
+          });
+        },
+      ),
+    );
+  });
+});
+
+describe('the follower', () => {
+  it('does not bring back a target that a later list had removed', async () => {
+    // Symptom: requests go to a target that left seconds ago. Sequence: a
+    // watch is under way; the store turns the instance away and a peer's list
+    // of a later state comes in, without the target; then the watch's answer
+    // arrives after all, with the target's earlier entry. Cause: an entry was
+    // compared with the one held, and none is held for a removed target.
+    const beliefs = new Beliefs();
+    let answerWatch: (changes: FactChange[]) => void = () => {};
+    const later: FactList = { records: [], revision: 9 };
+    const store = {
+      list: () => okAsync({ records: [], revision: 3 }),
+      watch: () =>
+        okAsync(undefined)
+          .andThen(() => okAsync(undefined))
+          .map(
+            () =>
+              new Promise<{ changes: FactChange[]; revision: number }>((resolve) => {
+                answerWatch = (changes) => resolve({ changes, revision: 5 });
+              }),
+          ),
+    } as unknown as Store;
+    const follower = follow({
+      store,
+      beliefs,
+      askPeers: async () => [],
+      now: () => performance.now(),
+      random: () => 0.5,
+    });
+    await sleep(20);
+    later.records.forEach((record) => beliefs.take(record));
+    beliefs.advance(later.revision);
+    answerWatch([targetAt('t-1', 4)]);
+    await sleep(20);
+    follower.stop();
+    expect(beliefs.holds('targets/t-1')).toBe(false);
+  });
+});
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -146,7 +146,9 @@
     const watched = await store.watch(beliefs.revision, WATCH_WAIT_MS);
     if (watched.isErr()) return watched.error;
     regained();
-    watched.value.changes.forEach(takeChange);
+    // A peer's list may have brought a later state while the watch waited.
+    const newer = watched.value.changes.filter((change) => change.revision > beliefs.revision);
+    newer.forEach(takeChange);
     beliefs.advance(watched.value.revision);
     if (watched.value.changes.length > 0) await pause(GATHER_MS);
     return undefined;
--- a/packages/fleet/src/registration.ts
+++ b/packages/fleet/src/registration.ts
@@ -81,8 +81,11 @@
   const tick = async (): Promise<void> => {
     if (stopped || busy) return;
     busy = true;
-    await keep();
-    busy = false;
+    try {
+      await keep();
+    } finally {
+      busy = false;
+    }
   };
   const timer = setInterval(() => {
     tick().catch((error: Error) => report('failed', error.message));
