Stand-in target: take the abort listener off after each sleep

Ruled out: the client's attempts (at most three on one signal). Change: the listener goes when the timer fires.

--- a/packages/targets/src/standin/upstream.ts
+++ b/packages/targets/src/standin/upstream.ts
@@ -73,11 +73,18 @@
       resolve(false);
       return;
     }
-    const timer = setTimeout(() => resolve(true), ms);
-    signal.addEventListener('abort', () => {
+    let timer: NodeJS.Timeout | undefined;
+    const stop = () => {
       clearTimeout(timer);
       resolve(false);
-    });
+    };
+    // A long answer sleeps once a chunk on one signal; a listener left behind
+    // each time is a leak that Node warns of from the eleventh on.
+    timer = setTimeout(() => {
+      signal.removeEventListener('abort', stop);
+      resolve(true);
+    }, ms);
+    signal.addEventListener('abort', stop, { once: true });
   });
 
 /** Starts an upstream stand-in and announces it as live. */
