--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -15,7 +15,6 @@
   attempts: Counter<'result'>;
   repeats: Counter<'granted'>;
   storeReached: Gauge;
-  storeFailures: Counter<'call'>;
   configurationVersion: Gauge;
   knownTargets: Gauge;
   knownInstances: Gauge;
@@ -44,7 +43,6 @@
     attempts: counter('target_attempts_total', 'Sends to targets, by result.', ['result']),
     repeats: counter('repeats_total', 'Repeated sends asked of the budget.', ['granted']),
     storeReached: gauge('store_reached', '1 while the store answers this instance.'),
-    storeFailures: counter('store_failures_total', 'Store calls without a result.', ['call']),
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force.'),
     knownTargets: gauge('known_targets', 'Targets in the registry.'),
     knownInstances: gauge('known_instances', 'Instances in the registry, this one included.'),
