Read both kinds of settings through one loader; drop an option the stop never used

Ruled out: one schema for both kinds of settings (they differ on unknown fields). Change: settingsFile.ts reads, parses and validates against a given schema; no message, schema or bound changes.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -184,7 +184,7 @@
     },
     stop: async () => {
       const graceMs = settings.bounds.graceSeconds * MS_PER_SECOND;
-      await stopGracefully({ phase, registration, connections, server, graceMs, log, now });
+      await stopGracefully({ phase, registration, connections, graceMs, log, now });
       follower.stop();
       [server, directory, readiness, peers, metricsPage].forEach((each) => {
         each.close();
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -1,5 +1,4 @@
 /** A planned stop, from the signal to the moment when nothing is under way. */
-import type { Server } from 'node:http';
 import type { BehaviorSubject } from 'rxjs';
 import type { Registration } from '@cardamomladder/fleet';
 import type { DecisionLog } from '../decisionLog';
@@ -17,7 +16,6 @@
   phase: BehaviorSubject<Phase>;
   registration: Registration | undefined;
   connections: CallerConnections;
-  server: Server;
   graceMs: number;
   log: DecisionLog;
   now: () => number;
--- a/packages/settings/src/instanceSettings.ts
+++ b/packages/settings/src/instanceSettings.ts
@@ -4,13 +4,10 @@
  * template at every start and change; unknown fields are ignored, since new
  * ones may come with any release of the platform.
  */
-import { readFile } from 'node:fs/promises';
 import type { Result } from 'neverthrow';
-import { err, ok } from 'neverthrow';
 import { z } from 'zod';
 import type { Failure } from '@cardamomladder/types';
-import { describeIssues, failure } from '@cardamomladder/types';
-import { parseJsonText } from './jsonText';
+import { loadAgainst, parseAgainst } from './settingsFile';
 
 const address = (what: string) =>
   z.string().regex(/^[^\s:]+:\d{1,5}$/, { error: `give ${what} as host:port` });
@@ -65,32 +62,8 @@
 export const parseInstanceSettings = (
   text: string,
   source: string,
-): Result<InstanceSettings, Failure> =>
-  parseJsonText(text, source, 'settings-invalid').andThen((value) => {
-    const parsed = instanceSettingsSchema.safeParse(value);
-    if (parsed.success) return ok(parsed.data);
-    return err(
-      failure(
-        'settings-invalid',
-        `${source} is invalid; change these fields and start again:\n${describeIssues(parsed.error.issues)}`,
-      ),
-    );
-  });
+): Result<InstanceSettings, Failure> => parseAgainst(instanceSettingsSchema, text, source);
 
 /** Reads and validates a settings file. */
-export const loadInstanceSettings = async (
-  file: string,
-): Promise<Result<InstanceSettings, Failure>> => {
-  let text: string;
-  try {
-    text = await readFile(file, 'utf8');
-  } catch (cause) {
-    return err(
-      failure(
-        'settings-invalid',
-        `cannot read settings file ${file} (${(cause as Error).message}); give the path of a JSON file`,
-      ),
-    );
-  }
-  return parseInstanceSettings(text, file);
-};
+export const loadInstanceSettings = (file: string): Promise<Result<InstanceSettings, Failure>> =>
+  loadAgainst(instanceSettingsSchema, file);
