Follow the store through one instance in sixteen of a region

Change: the instances registered longest watch, the others ask one of them over tRPC and take a delta of what it read; a relay that fails is left for 3 s.

--- a/packages/fleet/src/__tests__/beliefs.test.ts
+++ b/packages/fleet/src/__tests__/beliefs.test.ts
@@ -1,6 +1,6 @@
 /** Beliefs only move forward, whatever order changes come in. */
 import fc from 'fast-check';
-import { okAsync } from 'neverthrow';
+import { errAsync, okAsync } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
 import type { Configuration } from '@cardamomladder/routing';
 import {
@@ -12,6 +12,7 @@
 } from '@cardamomladder/types';
 import type { FactChange, FactList, Store } from '..';
 import { Beliefs, follow } from '..';
+import { instanceAt } from '../__fixtures__/instances';
 
 const configuration = (version: number): Configuration => ({
   version: configurationVersion(version),
@@ -88,7 +89,9 @@
     const follower = follow({
       store,
       beliefs,
+      self: instanceAt('i-1', 'north-a', 'north'),
       askPeers: async () => [],
+      watchPeer: () => errAsync({ kind: 'unavailable', message: 'no peer' }),
       now: () => performance.now(),
       random: () => 0.5,
     });
--- /dev/null
+++ b/packages/fleet/src/__tests__/relay.test.ts
@@ -0,0 +1,103 @@
+/** Instances choose alike who watches the store for whom, and lose no change by it. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { FactChange, RegisteredInstance } from '..';
+import { ChangeLog, INSTANCES_PER_RELAY, relayOf } from '..';
+import { instanceAt } from '../__fixtures__/instances';
+
+const DOMAINS = [
+  ['north-a', 'north'],
+  ['north-b', 'north'],
+  ['south-a', 'south'],
+] as const;
+
+const fleetOf = (places: readonly number[]): RegisteredInstance[] =>
+  places.map((place, i) => ({
+    instance: instanceAt(`i-${i}`, DOMAINS[place][0], DOMAINS[place][1]),
+    revision: 10 + i,
+  }));
+const places = fc.array(fc.integer({ min: 0, max: 2 }), { minLength: 1, maxLength: 90 });
+
+describe('the instance that is followed', () => {
+  it('watches the store itself, stands in the same region, and is one of few', () => {
+    fc.assert(
+      fc.property(places, (drawn) => {
+        const fleet = fleetOf(drawn);
+        const watching = fleet.filter(({ instance }) => !relayOf(instance, fleet));
+        fleet.forEach(({ instance }) => {
+          const followed = relayOf(instance, fleet);
+          if (!followed) return;
+          expect(followed.region).toBe(instance.region);
+          expect(watching.map((w) => w.instance.id)).toContain(followed.id);
+        });
+        const regions = ['north', 'south'].map(
+          (name) => fleet.filter(({ instance }) => instance.region === name).length,
+        );
+        expect(watching.length).toBe(
+          regions.reduce((sum, size) => sum + Math.ceil(size / INSTANCES_PER_RELAY), 0),
+        );
+      }),
+    );
+  });
+
+  it('stays the same when others join or restart', () => {
+    fc.assert(
+      fc.property(places, fc.nat(89), (drawn, which) => {
+        const fleet = fleetOf(drawn);
+        const first = fleet.find(({ instance }) => !relayOf(instance, fleet));
+        const restarted = fleet.map((r, i) =>
+          i === which % fleet.length ? { ...r, revision: 1000 } : r,
+        );
+        if (!first || restarted.every((r, i) => r === fleet[i])) return;
+        const changed = fleet[which % fleet.length].instance.id === first.instance.id;
+        if (!changed) expect(relayOf(first.instance, restarted)).toBeUndefined();
+      }),
+    );
+  });
+
+  it('is nobody for an instance without an entry: only its own calls show that the store turns it away', () => {
+    expect(relayOf(instanceAt('i-9', 'north-a', 'north'), fleetOf([0, 0, 1]))).toBeUndefined();
+  });
+});
+
+const removal = (revision: number): FactChange => ({
+  key: `k-${revision}`,
+  revision,
+  removed: true,
+});
+
+describe('the changes kept for peers', () => {
+  it('are every change after the revision asked for, or none are given', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.integer({ min: 1, max: 900 }), fc.boolean()), { maxLength: 12 }),
+        fc.nat(6000),
+        (steps, asked) => {
+          const log = new ChangeLog();
+          const all: number[] = [];
+          let at = 0;
+          steps.forEach(([count, listed]) => {
+            const changes = Array.from({ length: count }, (_, i) => removal(at + i + 1));
+            all.push(...changes.map((c) => c.revision));
+            if (listed) log.restart(at + count);
+            else log.add(at, { changes, revision: at + count });
+            at += count;
+          });
+          const given = log.since(asked);
+          if (given)
+            expect(given.map((c) => c.revision)).toEqual(
+              all.filter((revision) => revision > asked),
+            );
+        },
+      ),
+    );
+  });
+
+  it('start again after a gap: what came in between is not claimed', () => {
+    const log = new ChangeLog();
+    log.add(0, { changes: [removal(1)], revision: 1 });
+    log.add(5, { changes: [removal(6)], revision: 6 });
+    expect(log.since(1)).toBeUndefined();
+    expect(log.since(5)).toEqual([removal(6)]);
+  });
+});
--- /dev/null
+++ b/packages/fleet/src/changeLog.ts
@@ -0,0 +1,50 @@
+/**
+ * The latest changes of the facts, for peers that follow the store through
+ * this instance. It keeps them as they came from the store, so a peer that
+ * takes them believes what it would have read there itself.
+ */
+import { Subject } from 'rxjs';
+import type { FactChange, FactChanges } from './facts';
+
+/** Changes kept: a whole fleet of 300 targets and instances that is replaced within one question of a peer (700 ms) fits. */
+const CHANGES_KEPT = 1024;
+
+/** Changes in the store's order; `advanced` emits after each addition. */
+export class ChangeLog {
+  readonly advanced = new Subject<void>();
+
+  /** The store's revision up to which changes are known. */
+  revision = 0;
+
+  /** Changes after this revision are kept. */
+  private keptFrom = 0;
+
+  private changes: readonly FactChange[] = [];
+
+  /** Starts again at a listed revision: what changed before is not known one by one. */
+  restart(revision: number): void {
+    if (revision === this.revision) return;
+    this.changes = [];
+    this.keptFrom = revision;
+    this.revision = revision;
+    this.advanced.next();
+  }
+
+  /** Adds the changes after `after`; starts again there when that leaves a gap. */
+  add(after: number, { changes, revision }: FactChanges): void {
+    if (after > this.revision) this.restart(after);
+    if (revision <= this.revision) return;
+    const all = [...this.changes, ...changes.filter((c) => c.revision > this.revision)];
+    const dropped = all.slice(0, Math.max(0, all.length - CHANGES_KEPT)).at(-1);
+    this.keptFrom = dropped?.revision ?? this.keptFrom;
+    this.changes = all.filter((change) => change.revision > this.keptFrom);
+    this.revision = revision;
+    this.advanced.next();
+  }
+
+  /** Changes after `revision`; undefined when some of them are not kept. */
+  since(revision: number): FactChange[] | undefined {
+    if (revision < this.keptFrom) return undefined;
+    return this.changes.filter((change) => change.revision > revision);
+  }
+}
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps beliefs up to date: a list, then one watch after another; while the
- * store is out of reach, peers that still reach it are asked instead.
+ * Keeps beliefs up to date: a list, then one watch after another, at the
+ * store or through a peer that watches it for the region; while the store is
+ * out of reach, peers that still reach it are asked instead.
  *
  * What goes wrong without each part:
  * - An open watch can go silent for good. A watch that does not answer within
@@ -8,14 +9,28 @@
  *   silence costs less than the time allowed to stop using a leaving target.
  * - The store may turn away this instance alone. Its targets would leave
  *   unseen; peers pass on what they know.
+ * - A peer that is followed can freeze, lose the store or stop. Its silence
+ *   ends the question early enough to ask the store within the same time, and
+ *   the store is watched directly for a while before a peer is tried again.
  * - Entries lapse while the store is away and are written again within about
  *   two seconds of its return. Taking those removals at once would empty the
  *   registry; they are held for that time.
  */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { ResultAsync } from 'neverthrow';
 import type { Subscription } from 'rxjs';
 import { BehaviorSubject, timer } from 'rxjs';
 import type { Beliefs } from './beliefs';
-import type { FactChange, FactList, Store, StoreFailure } from './facts';
+import { ChangeLog } from './changeLog';
+import type {
+  FactChange,
+  FactChanges,
+  FactList,
+  InstanceEntry,
+  Store,
+  StoreFailure,
+} from './facts';
+import { relayOf } from './relay';
 
 /** How long one watch waits, ms: with the grace, below the shortest time allowed to obey a leaving target. */
 export const WATCH_WAIT_MS = 1000;
@@ -31,6 +46,11 @@
 /** Outages shorter than this lapse nothing, ms: the shortest registration outlives them. */
 const LAPSE_AFTER_MS = 900;
 
+/** How long a question to a followed peer waits, ms: with its time to answer (300 ms) and one call to the store it stays below the shortest time allowed to obey a leaving target. */
+const RELAY_WAIT_MS = 700;
+/** How long the store is watched directly after a followed peer failed, ms: the entry of one that was killed is gone by then. */
+const RELAY_PAUSE_MS = 3000;
+
 /** What a peer answers: its facts when they are newer, and whether it reaches the store. */
 export interface PeerAnswer {
   storeReached: boolean;
@@ -40,18 +60,32 @@
 /** Asks some peers for facts newer than `revision`; an empty list when none answers. */
 export type PeerQuestion = (revision: number) => Promise<PeerAnswer[]>;
 
+/**
+ * Waits at a peer that watches the store for changes after `revision`. Fails
+ * as the store would; `unavailable` also when the peer doesn't watch it.
+ */
+export type PeerWatch = (
+  peer: InstanceEntry,
+  revision: number,
+  waitMs: number,
+) => ResultAsync<FactChanges, StoreFailure>;
+
 /** Whether the store is reached, since when, and why not. */
 export interface StoreStatus {
   reached: boolean;
   since: number;
   reason: string;
+  /** The peer through which it is followed; undefined when it is watched directly. */
+  through?: InstanceEntry;
 }
 
 /** What following needs. */
 export interface FollowerOptions {
   store: Store;
   beliefs: Beliefs;
+  self: InstanceEntry;
   askPeers: PeerQuestion;
+  watchPeer: PeerWatch;
   /** Steady clock, ms. */
   now: () => number;
   random: () => number;
@@ -60,17 +94,15 @@
 /** A running follower. */
 export interface Follower {
   status: BehaviorSubject<StoreStatus>;
+  /** What peers that follow through this instance are told. */
+  changeLog: ChangeLog;
   stop: () => void;
 }
 
-const pause = (ms: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Starts following; returns at once. */
 export const follow = (options: FollowerOptions): Follower => {
-  const { store, beliefs, askPeers, now, random } = options;
+  const { store, beliefs, self, askPeers, watchPeer, now, random } = options;
+  const changeLog = new ChangeLog();
   const status = new BehaviorSubject<StoreStatus>({
     reached: false,
     since: now(),
@@ -81,6 +113,7 @@
   let listNext = true;
   let holdUntil = 0;
   let peerReachedStore = false;
+  let relayAgainAt = 0;
   let asking: Subscription | undefined;
 
   const takeChange = (change: FactChange): void => {
@@ -122,6 +155,12 @@
       });
     });
   };
+  /** Notes which way the store is followed from now on. */
+  const followThrough = (through: InstanceEntry | undefined): void => {
+    if (!status.value.reached || status.value.through?.id === through?.id) return;
+    const reason = through ? 'followed through a peer' : 'watched directly';
+    status.next({ ...status.value, reason, through });
+  };
   const regained = (): void => {
     if (status.value.reached) return;
     asking?.unsubscribe();
@@ -134,25 +173,53 @@
     status.next({ reached: true, since: now(), reason: 'answered' });
   };
 
-  const step = async (): Promise<StoreFailure | undefined> => {
-    if (listNext) {
-      const listed = await store.list();
-      if (listed.isErr()) return listed.error;
-      regained();
-      takeList(listed.value);
-      listNext = false;
-      return undefined;
-    }
-    const watched = await store.watch(beliefs.revision, WATCH_WAIT_MS);
+  const takeChanges = async (heard: FactChanges): Promise<void> => {
+    // A peer's list may have brought a later state while the watch waited.
+    heard.changes.filter((change) => change.revision > beliefs.revision).forEach(takeChange);
+    beliefs.advance(heard.revision);
+    if (heard.changes.length > 0) await pause(GATHER_MS);
+  };
+  const stepList = async (): Promise<StoreFailure | undefined> => {
+    const listed = await store.list();
+    if (listed.isErr()) return listed.error;
+    regained();
+    takeList(listed.value);
+    changeLog.restart(listed.value.revision);
+    listNext = false;
+    return undefined;
+  };
+  const stepWatch = async (): Promise<StoreFailure | undefined> => {
+    const after = beliefs.revision;
+    const watched = await store.watch(after, WATCH_WAIT_MS);
     if (watched.isErr()) return watched.error;
     regained();
-    // A peer's list may have brought a later state while the watch waited.
-    const newer = watched.value.changes.filter((change) => change.revision > beliefs.revision);
-    newer.forEach(takeChange);
-    beliefs.advance(watched.value.revision);
-    if (watched.value.changes.length > 0) await pause(GATHER_MS);
+    changeLog.add(after, watched.value);
+    await takeChanges(watched.value);
     return undefined;
   };
+  /** A peer that fails is not the store's failure: the next step watches the store. */
+  const stepRelay = async (relay: InstanceEntry): Promise<undefined> => {
+    const heard = await watchPeer(relay, beliefs.revision, RELAY_WAIT_MS);
+    if (heard.isOk()) await takeChanges(heard.value);
+    else relayAgainAt = now() + RELAY_PAUSE_MS;
+    return undefined;
+  };
+  const relay = (): InstanceEntry | undefined => {
+    if (!status.value.reached || now() < relayAgainAt) return undefined;
+    return relayOf(
+      self,
+      [...beliefs.instances.values()].map((instance) => ({
+        instance,
+        revision: beliefs.revisionOf(store.instanceKey(instance.id)),
+      })),
+    );
+  };
+  const step = (): Promise<StoreFailure | undefined> => {
+    if (listNext) return stepList();
+    const followed = relay();
+    followThrough(followed);
+    return followed ? stepRelay(followed) : stepWatch();
+  };
 
   const run = async (): Promise<void> => {
     let retryMs = 0;
@@ -176,6 +243,7 @@
 
   return {
     status,
+    changeLog,
     stop: () => {
       stopped = true;
       asking?.unsubscribe();
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,5 +1,4 @@
 /** Puts one instance together and runs it from start to planned stop. */
-import { createHTTPServer } from '@trpc/server/adapters/standalone';
 import type { Server } from 'node:http';
 import type { InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
 import { Beliefs, follow, startRegistration } from '@cardamomladder/fleet';
@@ -7,7 +6,7 @@
 import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
 import type { GatewayMetrics, LineWriter } from '@cardamomladder/telemetry';
 import type { SocketAddress } from '@cardamomladder/types';
-import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
+import { failureDomainName, instanceId, regionName, socketAddress, splitAddress } from '@cardamomladder/types';
 import { logBeliefs } from './beliefLog';
 import { decisionLog } from './decisionLog';
 import { FleetMembers } from './lifecycle/fleetMembers';
@@ -15,7 +14,9 @@
 import { stopGracefully } from './lifecycle/stop';
 import { askPeers } from './peers/ask';
 import { peerRouter } from './peers/router';
+import { createPeerServer } from './peers/server';
 import { VouchedPeers } from './peers/vouched';
+import { watchPeer } from './peers/watch';
 import { repeatBudgets } from './requests/repeatBudgets';
 import { createCallerServer } from './server/callerServer';
 import { nearest } from './server/directory';
@@ -52,10 +53,10 @@
 const steadyNow = (): number => performance.now();
 
 const listen = (server: Server, address: string): Promise<void> => {
-  const colon = address.lastIndexOf(':');
+  const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => resolve());
+    server.listen(port, host, () => resolve());
   });
 };
 
@@ -116,34 +117,28 @@
     return nearest([...known.values()], question);
   };
 
+  const vouchFor = () => (ready() ? self : null);
   const follower = follow({
     store,
     beliefs,
-    askPeers: askPeers({
-      beliefs,
-      self,
-      seeds: settings.seeds,
-      vouchFor: () => (ready() ? self : null),
-      log,
-    }),
+    self,
+    askPeers: askPeers({ beliefs, self, seeds: settings.seeds, vouchFor, log }),
+    watchPeer: watchPeer({ vouchFor, log }),
     now,
     random: Math.random,
   });
-  follower.status.subscribe(({ reached, reason }) => {
+  follower.status.subscribe(({ reached, reason, through }) => {
     metrics.storeReached.set(reached ? 1 : 0);
-    log.write('store', undefined, { event: reached ? 'reached' : 'lost', reason });
+    const event = reached ? 'reached' : 'lost';
+    log.write('store', undefined, { event, reason, through: through?.id });
   });
 
   const directoryTtl = Math.min(DIRECTORY_TTL_SECONDS, settings.bounds.directoryTtlSeconds);
   const directory = createDirectoryServer(wire, lookUp, directoryTtl);
   const readiness = createReadinessServer(wire, ready);
-  const peers = createHTTPServer({
-    router: peerRouter({
-      beliefs,
-      storeReached: () => follower.status.value.reached,
-      vouch: (asker) => vouched.hear(asker),
-    }),
-  });
+  const peers = createPeerServer(
+    peerRouter({ beliefs, follower, vouch: (asker) => vouched.hear(asker) }),
+  );
   const metricsPage = createMetricsServer(metrics, () => {
     metrics.knownTargets.set(registry.size);
     metrics.knownInstances.set(beliefs.instances.size);
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -1,4 +1,5 @@
 /** A planned stop, from the signal to the moment when nothing is under way. */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { BehaviorSubject } from 'rxjs';
 import type { Registration } from '@cardamomladder/fleet';
 import type { DecisionLog } from '../decisionLog';
@@ -21,11 +22,6 @@
   now: () => number;
 }
 
-const pause = (ms: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Resolves when nothing has been under way for a while, or at `endAt`. */
 const untilQuiet = async (
   { connections, now }: StopOptions,
--- a/packages/gateway/src/peers/ask.ts
+++ b/packages/gateway/src/peers/ask.ts
@@ -2,45 +2,15 @@
  * Asks a few peers for the facts they hold. Nearest first, then others in
  * turn, so that a failure domain cut off as a whole is not asked only inside.
  */
-import { createTRPCClient, httpLink } from '@trpc/client';
-import { Agent, request as httpRequest } from 'node:http';
 import type { Beliefs, InstanceEntry, PeerAnswer } from '@cardamomladder/fleet';
 import type { DecisionLog } from '../decisionLog';
-import type { PeerRouter } from './router';
+import { peerClient } from './client';
 
 /** Peers asked at a time: one near, one in turn. */
 const PEERS_ASKED = 2;
 /** How long a peer may take to answer, ms: over two ways between any regions. */
 const PEER_TIMEOUT_MS = 400;
 
-const agent = new Agent({ keepAlive: true, timeout: 5000 });
-
-/** The part of `fetch` that tRPC uses, over Node's http client; the built-in one costs memory in every process. */
-const fetchOverHttp = (url: URL | string): Promise<Response> =>
-  new Promise((resolve, reject) => {
-    const req = httpRequest(url, { agent }, (res) => {
-      const chunks: Buffer[] = [];
-      res.on('data', (chunk: Buffer) => chunks.push(chunk));
-      res.on('error', reject);
-      res.on('end', () => {
-        const text = Buffer.concat(chunks).toString('utf8');
-        resolve({
-          ok: res.statusCode === 200,
-          status: res.statusCode,
-          json: async () => JSON.parse(text) as unknown,
-        } as Response);
-      });
-    });
-    req.setTimeout(PEER_TIMEOUT_MS, () => req.destroy(new Error('peer timed out')));
-    req.on('error', reject);
-    req.end();
-  });
-
-const clientOf = (address: string) =>
-  createTRPCClient<PeerRouter>({
-    links: [httpLink({ url: `http://${address}`, fetch: (url) => fetchOverHttp(url as string) })],
-  });
-
 /** What asking needs of the instance. */
 export interface AskOptions {
   beliefs: Beliefs;
@@ -74,7 +44,10 @@
   let round = 0;
   const ask = async (address: string, revision: number): Promise<PeerAnswer | undefined> => {
     try {
-      return await clientOf(address).facts.query({ revision, asker: options.vouchFor() });
+      return await peerClient(address, PEER_TIMEOUT_MS).facts.query({
+        revision,
+        asker: options.vouchFor(),
+      });
     } catch (error) {
       options.log.write('store', undefined, {
         event: 'peer did not answer',
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -10,10 +10,9 @@
   FailureDomainName,
   RegionName,
   ServiceName,
-  SocketAddress,
   TargetId,
 } from '@cardamomladder/types';
-import { failureDomainName, regionName } from '@cardamomladder/types';
+import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
 import { TargetConnections } from './connections';
 
@@ -52,11 +51,6 @@
 /** Smallest share of a target's connections one instance keeps for itself. */
 const LEAST_CONNECTIONS = 4;
 
-const splitAddress = (address: SocketAddress): { host: string; port: number } => {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-};
-
 /** Each region's part of all requests: callers stand in every failure domain alike. */
 const demandOf = (domains: Readonly<Record<string, string>>): Map<RegionName, number> => {
   const parts = new Map<RegionName, number>();
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -33,5 +33,6 @@
   socketAddress,
   targetId,
 } from './ids';
+export { splitAddress } from './address';
 export type { FailureKind, SchemaIssue } from './errors';
 export { Failure, describeIssues, failure, fieldPath } from './errors';
