Hold lapsed entries unless a peer reached the store all through the outage

Cause: one answer of a peer that had not noticed the outage yet, or had just regained the store, counted for the whole outage; entries that had lapsed were then dropped at once and requests refused until their targets wrote them again (about two seconds).

Change: peers say for how long they have reached the store; only the last answers count, and only spans longer than the outage.

--- a/packages/fleet/src/__fixtures__/instances.ts
+++ b/packages/fleet/src/__fixtures__/instances.ts
@@ -1,6 +1,31 @@
-/** Instance entries for tests. */
-import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
-import type { InstanceEntry } from '..';
+/** Entries of instances and targets for tests. */
+import {
+  failureDomainName,
+  instanceId,
+  regionName,
+  serviceName,
+  socketAddress,
+  targetId,
+} from '@cardamomladder/types';
+import type { FactRecord, InstanceEntry } from '..';
+
+/** A target's record at a revision. */
+export const targetRecord = (id: string, revision: number): FactRecord => ({
+  key: `targets/${id}`,
+  revision,
+  fact: {
+    kind: 'target',
+    target: {
+      id: targetId(id),
+      service: serviceName('s'),
+      address: socketAddress('127.0.0.1:1'),
+      failureDomain: failureDomainName('north-a'),
+      slots: 1,
+      leaving: false,
+      coldForMs: 0,
+    },
+  },
+});
 
 /** An entry by id and place; its addresses are never called. */
 export const instanceAt = (id: string, failureDomain: string, region: string): InstanceEntry => ({
--- a/packages/fleet/src/__tests__/beliefs.test.ts
+++ b/packages/fleet/src/__tests__/beliefs.test.ts
@@ -1,18 +1,13 @@
 /** Beliefs only move forward, whatever order changes come in. */
 import fc from 'fast-check';
 import { errAsync, okAsync } from 'neverthrow';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import type { Configuration } from '@cardamomladder/routing';
-import {
-  configurationVersion,
-  failureDomainName,
-  serviceName,
-  socketAddress,
-  targetId,
-} from '@cardamomladder/types';
+import { configurationVersion } from '@cardamomladder/types';
 import type { FactChange, FactList, Store } from '..';
 import { Beliefs, follow } from '..';
-import { instanceAt } from '../__fixtures__/instances';
+import { instanceAt, targetRecord } from '../__fixtures__/instances';
 
 const configuration = (version: number): Configuration => ({
   version: configurationVersion(version),
@@ -20,27 +15,6 @@
   services: [],
   limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
-const targetAt = (id: string, revision: number): FactChange => ({
-  key: `targets/${id}`,
-  revision,
-  fact: {
-    kind: 'target',
-    target: {
-      id: targetId(id),
-      service: serviceName('s'),
-      address: socketAddress('127.0.0.1:1'),
-      failureDomain: failureDomainName('north-a'),
-      slots: 1,
-      leaving: false,
-      coldForMs: 0,
-    },
-  },
-});
-const sleep = (ms: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 describe('beliefs', () => {
   it('never put an older configuration in force', () => {
     fc.assert(
@@ -98,7 +72,7 @@
     await sleep(20);
     later.records.forEach((record) => beliefs.take(record));
     beliefs.advance(later.revision);
-    answerWatch([targetAt('t-1', 4)]);
+    answerWatch([targetRecord('t-1', 4)]);
     await sleep(20);
     follower.stop();
     expect(beliefs.holds('targets/t-1')).toBe(false);
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -51,9 +51,9 @@
 /** How long the store is watched directly after a followed peer failed, ms: the entry of one that was killed is gone by then. */
 const RELAY_PAUSE_MS = 3000;
 
-/** What a peer answers: its facts when they are newer, and whether it reaches the store. */
+/** What a peer answers: its facts when they are newer, and for how long it has reached the store; unset while it does not. */
 export interface PeerAnswer {
-  storeReached: boolean;
+  storeReachedForMs?: number;
   list?: FactList;
 }
 
@@ -141,7 +141,11 @@
   const ask = async (): Promise<void> => {
     const answers = await askPeers(beliefs.revision);
     if (status.value.reached || stopped) return;
-    peerReachedStore = peerReachedStore || answers.some((a) => a.storeReached);
+    // Only the last answers count, and only from peers that reached the store
+    // all the while: one that has not noticed the outage yet, or regained the
+    // store a moment ago, knows no more of the lapsed entries than this one.
+    const away = now() - status.value.since;
+    peerReachedStore = answers.some(({ storeReachedForMs = 0 }) => storeReachedForMs > away);
     answers.forEach(({ list }) => list && takeList(list));
   };
   const lost = (failure: StoreFailure): void => {
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -6,7 +6,13 @@
 import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
 import type { GatewayMetrics, LineWriter } from '@cardamomladder/telemetry';
 import type { SocketAddress } from '@cardamomladder/types';
-import { failureDomainName, instanceId, regionName, socketAddress, splitAddress } from '@cardamomladder/types';
+import {
+  failureDomainName,
+  instanceId,
+  regionName,
+  socketAddress,
+  splitAddress,
+} from '@cardamomladder/types';
 import { logBeliefs } from './beliefLog';
 import { decisionLog } from './decisionLog';
 import { FleetMembers } from './lifecycle/fleetMembers';
@@ -137,7 +143,7 @@
   const directory = createDirectoryServer(wire, lookUp, directoryTtl);
   const readiness = createReadinessServer(wire, ready);
   const peers = createPeerServer(
-    peerRouter({ beliefs, follower, vouch: (asker) => vouched.hear(asker) }),
+    peerRouter({ beliefs, follower, vouch: (asker) => vouched.hear(asker), now }),
   );
   const metricsPage = createMetricsServer(metrics, () => {
     metrics.knownTargets.set(registry.size);
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -27,6 +27,8 @@
   beliefs: Beliefs;
   follower: Follower;
   vouch: (asker: InstanceEntry) => void;
+  /** Steady clock, ms. */
+  now: () => number;
 }
 
 /** An answer to a peer that follows: changes; or why it must ask elsewhere. */
@@ -69,13 +71,16 @@
 };
 
 /** Builds the router of one instance. */
-export const peerRouter = ({ beliefs, follower, vouch }: PeerRouterOptions) =>
+export const peerRouter = ({ beliefs, follower, vouch, now }: PeerRouterOptions) =>
   t.router({
     facts: t.procedure.input(question).query(({ input }): PeerAnswer => {
       if (input.asker) vouch(input.asker);
       const newer = beliefs.revision > input.revision;
-      const storeReached = follower.status.value.reached;
-      return { storeReached, ...(newer ? { list: beliefs.list() } : {}) };
+      const { reached, since } = follower.status.value;
+      return {
+        ...(reached ? { storeReachedForMs: now() - since } : {}),
+        ...(newer ? { list: beliefs.list() } : {}),
+      };
     }),
     changes: t.procedure
       .input(waitingQuestion)
