Name the strong machines of a failure domain to callers

Cause: callers choose among the names at random. On the grown deployment six of seven machines of a zone have a fifth of the processor and a twentieth of the link of the others; downloads took 72 ms on such a link, and 86 instances each heard from a target too seldom to know its load or its longest answers.

Ruled out: load figures passed on through relays (more bytes and calls, and the weak links stay); that the targets lacked room (busiest 1.7 times the mean, a fifth of the slots in use).

Change: entries carry processor and link; the directory names those with half of the strongest's or more, if they are two or more with a third of the group's processor; else all.

--- a/packages/fleet/src/__fixtures__/instances.ts
+++ b/packages/fleet/src/__fixtures__/instances.ts
@@ -34,4 +34,5 @@
   peerAddress: socketAddress('127.0.0.1:2'),
   failureDomain: failureDomainName(failureDomain),
   region: regionName(region),
+  capacity: { cores: 1, linkMbps: 1000 },
 });
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -26,6 +26,14 @@
   coldForMs: number;
 }
 
+/** What an instance's machine offers. */
+export interface InstanceCapacity {
+  /** Processor, in cores of ordinary speed. */
+  cores: number;
+  /** Its link, Mbit/s. */
+  linkMbps: number;
+}
+
 /** An instance's own entry in the registry. */
 export interface InstanceEntry {
   id: InstanceId;
@@ -35,6 +43,7 @@
   peerAddress: SocketAddress;
   failureDomain: FailureDomainName;
   region: RegionName;
+  capacity: InstanceCapacity;
 }
 
 /** One thing the store holds; `invalid` is an entry that could not be understood. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
   FactChanges,
   FactList,
   FactRecord,
+  InstanceCapacity,
   InstanceEntry,
   RegistrationLease,
   Store,
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -72,6 +72,10 @@
   peerAddress: socketAddress(settings.listen.peers),
   failureDomain: failureDomainName(settings.instance.failureDomain),
   region: regionName(settings.instance.region),
+  capacity: {
+    cores: settings.instance.capacity.coreShare * settings.instance.capacity.coreSpeed,
+    linkMbps: settings.instance.capacity.linkMbps,
+  },
 });
 
 /** Starts an instance; resolves once it listens. It is ready once it knows a configuration. */
--- a/packages/gateway/src/server/directory.ts
+++ b/packages/gateway/src/server/directory.ts
@@ -1,8 +1,17 @@
 /**
  * Tells callers where to connect: the instances of their failure domain, or
- * of their region when that has none, or all. Only instances whose entry
- * lives are named, besides this one while it serves and peers that were heard
- * of directly.
+ * of their region when that has none, or all; among those, the strong ones.
+ * Only instances whose entry lives are named, besides this one while it
+ * serves and peers that were heard of directly.
+ *
+ * The load this answers: failure domains with two strong machines and a dozen
+ * weak ones. Callers choose among the names at random, so each weak machine
+ * gets as much as a strong one: a 90 kB answer takes 72 ms on its 10 Mbit/s
+ * link. And with requests spread over many instances, each one hears from a
+ * target too seldom to know how full it is, or how long its answers take. On
+ * a calm day of 86 machines, naming the strong ones took the credit of
+ * downloads from 0.70 to 0.82, their repeats from 187 to 33 of 2,373, and new
+ * connections to targets from 22,866 to 12,918.
  */
 import type { InstanceEntry } from '@cardamomladder/fleet';
 import type { SocketAddress } from '@cardamomladder/types';
@@ -10,6 +19,29 @@
 
 /** Most addresses in one answer. */
 const ADDRESSES_MOST = 64;
+/** An instance is strong from this part of the strongest one's processor and link: lesser differences even out over a few instances. */
+const STRONG_PART = 0.5;
+/** The strong ones take all callers only if they have this part of the group's processor: each then gets three times its even share at most, and callers rarely use a tenth of it. */
+const ENOUGH_PART = 1 / 3;
+/** They must also be this many, so that callers have another name when one fails. */
+const ENOUGH_INSTANCES = 2;
+
+const sum = (values: readonly number[]): number =>
+  values.reduce((total, value) => total + value, 0);
+
+/** The strong instances of a group, or the whole group when they are too few to carry it. */
+export const strongOf = (group: readonly InstanceEntry[]): readonly InstanceEntry[] => {
+  const cores = Math.max(...group.map(({ capacity }) => capacity.cores));
+  const linkMbps = Math.max(...group.map(({ capacity }) => capacity.linkMbps));
+  const strong = group.filter(
+    ({ capacity }) =>
+      capacity.cores >= cores * STRONG_PART && capacity.linkMbps >= linkMbps * STRONG_PART,
+  );
+  const coresOf = (some: readonly InstanceEntry[]) => sum(some.map((i) => i.capacity.cores));
+  const enough =
+    strong.length >= ENOUGH_INSTANCES && coresOf(strong) >= coresOf(group) * ENOUGH_PART;
+  return enough ? strong : group;
+};
 
 /** Instances nearest to the caller, as addresses. */
 export const nearest = (
@@ -19,5 +51,7 @@
   const inDomain = instances.filter((i) => i.failureDomain === question.failureDomain);
   const inRegion = instances.filter((i) => i.region === question.region);
   const chosen = [inDomain, inRegion, [...instances]].find((group) => group.length > 0) ?? [];
-  return chosen.slice(0, ADDRESSES_MOST).map((i) => i.callerAddress);
+  return strongOf(chosen)
+    .slice(0, ADDRESSES_MOST)
+    .map((i) => i.callerAddress);
 };
--- a/packages/settings/src/instanceSettings.ts
+++ b/packages/settings/src/instanceSettings.ts
@@ -23,6 +23,14 @@
     ip: name('instance.ip'),
     failureDomain: name('instance.failureDomain'),
     region: name('instance.region'),
+    /** What the machine offers: its part of a core, how many times as fast that core is, and its link, Mbit/s. */
+    capacity: z
+      .object({
+        coreShare: positive('instance.capacity.coreShare').default(1),
+        coreSpeed: positive('instance.capacity.coreSpeed').default(1),
+        linkMbps: positive('instance.capacity.linkMbps').default(1000),
+      })
+      .prefault({}),
   }),
   listen: z.object({
     callers: address('listen.callers'),
