--- a/packages/gateway/src/requests/__tests__/repeatPolicy.test.ts
+++ b/packages/gateway/src/requests/__tests__/repeatPolicy.test.ts
@@ -1,6 +1,7 @@
 /** At most once, decided in one place: which outcomes allow another send. */
 import type { IncomingMessage } from 'node:http';
 import { describe, expect, it } from 'vitest';
+import { seeded } from '@cardamomladder/load';
 import type { RequestKind } from '@cardamomladder/routing';
 import type { AttemptOutcome } from '../../targets/attempt';
 import { silentAfter, worthRepeating } from '../repeatPolicy';
@@ -36,7 +37,30 @@
     // Sequence: the object is new to its target, which takes 480 ms; at 350 ms
     // the send is given up and the next target starts on it, new as well.
     // Cause: the wait followed the mean of answers from memory.
-    const waits = [0, 150, 480, 2000].map((longestMs) => silentAfter(1200, longestMs));
+    const waits = [0, 150, 480, 2000].map((ms) =>
+      Math.round(silentAfter(1200, { ms, answers: 10_000 })),
+    );
     expect(waits).toEqual([900, 350, 624, 900]);
+    expect(silentAfter(1200, undefined)).toBe(900);
+  });
+
+  it('wait longer while few answers are known', () => {
+    // Symptom: on a calm day one download in twelve is sent to two targets,
+    // each of which starts on a new object. Sequence: an instance of many has
+    // had three answers in its memory's time; the next one takes longer than
+    // the longest of them. Cause: the longest of three stood for the longest.
+    const random = seeded(4);
+    const answerMs = () => 200 - 150 * Math.log(1 - random());
+    const rounds = 4000;
+    const givenUp = (few: number): number => {
+      const early = Array.from({ length: rounds }, () => {
+        const ms = Math.max(...Array.from({ length: few }, answerMs));
+        return answerMs() > silentAfter(5000, { ms, answers: few });
+      });
+      return early.filter(Boolean).length / rounds;
+    };
+    expect(givenUp(3)).toBeLessThan(0.01);
+    expect(givenUp(10)).toBeLessThan(0.01);
+    expect(givenUp(100)).toBeLessThan(0.01);
   });
 });
--- a/packages/gateway/src/requests/repeatPolicy.ts
+++ b/packages/gateway/src/requests/repeatPolicy.ts
@@ -5,6 +5,7 @@
  */
 import type { RequestKind } from '@cardamomladder/routing';
 import { repeatable } from '@cardamomladder/routing';
+import type { LongestKnown } from '@cardamomladder/steering';
 import type { AttemptOutcome } from '../targets/attempt';
 import { isFramed } from '../targets/attempt';
 
@@ -14,6 +15,12 @@
 export const LEAST_SEND_MS = 30;
 /** A send is silent past this many times the service's longest answer of late: work varies by a third. */
 const SILENT_TIMES = 1.3;
+/**
+ * With few answers the longest of them is well below the longest there are: a
+ * next one exceeds the longest of ten in one of eleven cases. The wait is
+ * longer by this part, divided by the answers it rests on: doubled at ten.
+ */
+const FEW_ANSWERS = 10;
 /** Shortest wait for an answer before a repeat, ms: a few ways between any two regions. */
 const SILENT_LEAST_MS = 350;
 /** Longest wait before a repeat, as a part of the time left: a repeat needs some itself. */
@@ -33,11 +40,12 @@
  * How long to wait for a send's answer before a repeat is thought of, ms.
  * Connections go silent without a sign, and answers get lost; but a target
  * that is slow as it has much to do, or the object is new to it, gets no
- * better by a second send. `longestMs` is the service's longest answer time
- * of late; 0 when none is known.
+ * better by a second send. `longest` is what is known of the service's
+ * longest answers, if anything is.
  */
-export const silentAfter = (leftMs: number, longestMs: number): number => {
+export const silentAfter = (leftMs: number, longest: LongestKnown | undefined): number => {
   const most = leftMs * SILENT_MOST_PART;
-  if (longestMs === 0) return most;
-  return Math.min(most, Math.max(SILENT_LEAST_MS, longestMs * SILENT_TIMES));
+  if (!longest || longest.ms === 0) return most;
+  const times = SILENT_TIMES + FEW_ANSWERS / longest.answers;
+  return Math.min(most, Math.max(SILENT_LEAST_MS, longest.ms * times));
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -69,7 +69,10 @@
   if (!repeatable(request.route.kind) || !serving.maySendMore) return undefined;
   const { longest } = ctx.registry.of(request.service);
   const known = placed.answerMs !== undefined && placed.coldUntil <= ctx.now();
-  const waitMs = silentAfter(request.finalAt - ctx.now(), known ? longest.now(ctx.now()) : 0);
+  const waitMs = silentAfter(
+    request.finalAt - ctx.now(),
+    known ? longest.now(ctx.now()) : undefined,
+  );
   let timer: NodeJS.Timeout | undefined;
   const silence = new Promise<'silent'>((resolve) => {
     timer = setTimeout(() => resolve('silent'), waitMs);
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -6,12 +6,7 @@
 import type { Configuration, Service } from '@cardamomladder/routing';
 import type { PlacedTarget, ServicePool } from '@cardamomladder/steering';
 import { LongestAnswer, Rankings, coldShare, newTarget } from '@cardamomladder/steering';
-import type {
-  FailureDomainName,
-  RegionName,
-  ServiceName,
-  TargetId,
-} from '@cardamomladder/types';
+import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
 import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
 import { TargetConnections } from './connections';
--- /dev/null
+++ b/packages/soak/src/__tests__/promises.test.ts
@@ -0,0 +1,71 @@
+/** The soak's own checks: each finds what it is for, and a fault excuses only what it may. */
+import { describe, expect, it } from 'vitest';
+import type { Answer, Asked, RunSeen } from '..';
+import { Disturbances, FAULT_KINDS, Promises, planFaults } from '..';
+
+const asked: Asked = {
+  id: 'r-1',
+  kind: 'once',
+  path: '/book/1',
+  body: 'b',
+  instance: 'i-1',
+  at: 10_000,
+  routed: true,
+};
+const good: Answer = { status: 200, at: 10_100, id: 'r-1' };
+const run: RunSeen = { id: 'r-1', path: '/book/1', body: 'b', target: 't-1', at: 10_050 };
+
+const foundBy = (play: (promises: Promises, disturbances: Disturbances) => void): string[] => {
+  const disturbances = new Disturbances();
+  const promises = new Promises(disturbances, { answerMs: 1500, leaveMs: 2500 });
+  promises.ask(asked);
+  play(promises, disturbances);
+  return promises.violations.map((v) => v.promise);
+};
+
+describe('the promises', () => {
+  it('find nothing in a request that ran once and was answered', () => {
+    expect(
+      foundBy((p) => {
+        p.run(run);
+        p.answer('r-1', good);
+      }),
+    ).toEqual([]);
+  });
+
+  it.each([
+    ['twice', (p: Promises) => [p.run(run), p.run({ ...run, target: 't-2' })]],
+    ['unasked', (p: Promises) => p.run({ ...run, id: 'r-9' })],
+    ['unasked', (p: Promises) => p.run({ ...run, body: 'c' })],
+    ['refused', (p: Promises) => [p.answer('r-1', { ...good, status: 503 }), p.run(run)]],
+    ['mixed', (p: Promises) => p.answer('r-1', { ...good, id: 'r-2' })],
+    ['mixed', (p: Promises) => p.answer('r-1', { ...good, spoiled: 'half a body' })],
+    ['lost', (p: Promises) => [p.answer('r-1', { ...good, status: 0 }), p.run(run)]],
+    ['late', (p: Promises) => p.answer('r-1', { ...good, at: 12_000 })],
+    ['configuration', (p: Promises) => p.answer('r-1', { ...good, status: 404 })],
+    ['leaving', (p: Promises) => [p.leave('t-1', 7000), p.run(run)]],
+  ])('find what is %s', (promise, play) => {
+    expect(foundBy(play)).toEqual([promise]);
+  });
+
+  it('excuse a lost answer of an instance that was disturbed, but never a second run', () => {
+    expect(
+      foundBy((p, disturbances) => {
+        disturbances.begin('i-1', 8000)(8500);
+        p.answer('r-1', { ...good, status: 0 });
+        p.run(run);
+        p.run({ ...run, target: 't-2' });
+      }),
+    ).toEqual(['twice']);
+  });
+});
+
+describe('a plan', () => {
+  it('is the same for a seed, and draws every kind over some seeds', () => {
+    expect(planFaults(3, 20_000)).toEqual(planFaults(3, 20_000));
+    const drawn = new Set(
+      Array.from({ length: 20 }, (_, seed) => planFaults(seed, 20_000).map((f) => f.kind)).flat(),
+    );
+    expect([...drawn].sort()).toEqual([...FAULT_KINDS].sort());
+  });
+});
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -6,6 +6,7 @@
 export { ServiceSteering } from './service';
 export { Load } from './placing/busyEstimate';
 export { coldShare } from './placing/coldAllowance';
+export type { LongestKnown } from './placing/longestAnswer';
 export { LongestAnswer } from './placing/longestAnswer';
 export type { RepeatBound } from './placing/repeatBudget';
 export { RepeatBudget } from './placing/repeatBudget';
--- a/packages/steering/src/placing/longestAnswer.ts
+++ b/packages/steering/src/placing/longestAnswer.ts
@@ -6,6 +6,14 @@
  * object is new too, makes both do the long work and neither remember it.
  */
 
+/** What is known of a service's longest answers. */
+export interface LongestKnown {
+  /** The longest time of late, ms; 0 before the first answer. */
+  ms: number;
+  /** How many answers it is the longest of; older ones count less. */
+  answers: number;
+}
+
 /** The longest time counts half after this, ms: a burst of slow answers is forgotten within a minute. */
 const HALF_LIFE_MS = 10_000;
 
@@ -15,15 +23,23 @@
 
   private at = 0;
 
+  private answers = 0;
+
+  private countedAt = 0;
+
   /** Takes an answer's time. */
   take(ms: number, now: number): void {
-    if (ms < this.now(now)) return;
+    const known = this.now(now);
+    this.answers = known.answers + 1;
+    this.countedAt = now;
+    if (ms < known.ms) return;
     this.ms = ms;
     this.at = now;
   }
 
-  /** The longest time as it counts at `now`, ms; 0 before the first answer. */
-  now(now: number): number {
-    return this.ms * 0.5 ** ((now - this.at) / HALF_LIFE_MS);
+  /** What counts at `now`. */
+  now(now: number): LongestKnown {
+    const part = (since: number) => 0.5 ** ((now - since) / HALF_LIFE_MS);
+    return { ms: this.ms * part(this.at), answers: this.answers * part(this.countedAt) };
   }
 }
