--- a/packages/entry/src/server/routes.ts
+++ b/packages/entry/src/server/routes.ts
@@ -10,7 +10,8 @@
 import { serviceName } from '@cardamomladder/types';
 import type { Fleet } from '../state/fleet';
 import type { ForwardingContext } from './forwarding';
-import { forward, refuse } from './forwarding';
+import { forward } from './forwarding';
+import { refuse } from './refusal';
 
 const spans = tracer('entry');
 
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -1,6 +1,6 @@
 /** One send of a request to one target: its headers, its bookkeeping and what it teaches. */
 import type { OutgoingHttpHeaders } from 'node:http';
-import { SpanKind } from '@opentelemetry/api';
+import { SpanKind, context, trace } from '@opentelemetry/api';
 import { tracer } from '@cardamomladder/telemetry';
 import type { AttemptOutcome } from '../targets/attempt';
 import { sendAttempt } from '../targets/attempt';
@@ -56,7 +56,8 @@
   if (placed.coldUntil > sentAt) placed.coldSends.add(sentAt);
   serving.countSend(placed.id);
   placed.load.own += 1;
-  const span = spans.startSpan('gateway.send', { kind: SpanKind.CLIENT });
+  const parent = trace.setSpan(context.active(), serving.span);
+  const span = spans.startSpan('gateway.send', { kind: SpanKind.CLIENT }, parent);
   const attempt = sendAttempt({
     host: target.host,
     port: target.port,
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -3,6 +3,7 @@
  * and give one final answer no later than it is due.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Span } from '@opentelemetry/api';
 import { repeatable } from '@cardamomladder/routing';
 import type { Locality } from '@cardamomladder/steering';
 import { describeTargets, place } from '@cardamomladder/steering';
@@ -170,8 +171,9 @@
   req: IncomingMessage,
   res: ServerResponse,
   ctx: ServeContext,
+  span: Span,
 ): Promise<ServeOutcome> => {
-  const serving = new Serving(request, req, res, ctx);
+  const serving = new Serving(request, req, res, ctx, span);
   ctx.budgetOf(request.service).earn(ctx.now());
   const dueMs = Math.max(0, request.finalAt - ctx.now());
   const timer = setTimeout(() => {
--- a/packages/gateway/src/requests/serving.ts
+++ b/packages/gateway/src/requests/serving.ts
@@ -1,5 +1,6 @@
 /** The state of one request while it is served, and what serving needs of the instance. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Span } from '@opentelemetry/api';
 import type { RepeatBudget } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type { ServiceName, TargetId } from '@cardamomladder/types';
@@ -46,6 +47,8 @@
     readonly req: IncomingMessage,
     readonly res: ServerResponse,
     readonly ctx: ServeContext,
+    /** The request's span; its sends are the span's children. */
+    readonly span: Span,
   ) {}
 
   /** Sends that reached nobody: no connection was made. */
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -115,7 +115,7 @@
       finalAt: finalAnswerAt(req, route, wire.headers, arrivedAt),
     };
     const span = spans.startSpan('gateway.request', { kind: SpanKind.SERVER });
-    const outcome = await serve(request, req, res, options);
+    const outcome = await serve(request, req, res, options, span);
     span.setAttribute('outcome', outcome);
     span.end();
     report(request, outcome);
