--- /dev/null
+++ b/packages/gateway/src/listeners.ts
@@ -0,0 +1,125 @@
+/** The servers of one instance and where they listen. */
+import type { Server } from 'node:http';
+import type { Follower } from '@cardamomladder/fleet';
+import type { SocketAddress } from '@cardamomladder/types';
+import { splitAddress } from '@cardamomladder/types';
+import type { Parts } from './parts';
+import { peerRouter } from './peers/router';
+import { createPeerServer } from './peers/server';
+import { repeatBudgets } from './requests/repeatBudgets';
+import type { CallerConnections } from './server/callerConnections';
+import { createCallerServer } from './server/callerServer';
+import { nearest } from './server/directory';
+import {
+  createDirectoryServer,
+  createMetricsServer,
+  createReadinessServer,
+} from './server/smallServers';
+import { TargetRegistry } from './targets/registry';
+import type { DirectoryQuestion } from './wireNames';
+
+/** How long callers keep a directory answer, seconds: they leave a stopping instance within it, and ask no more often than they must. */
+const DIRECTORY_TTL_SECONDS = 2;
+
+/** The servers, all listening. */
+export interface Listeners {
+  /** The callers' connections, for a planned stop. */
+  connections: CallerConnections;
+  close: () => void;
+}
+
+const listen = (server: Server, address: string): Promise<void> => {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve());
+  });
+};
+
+const registryOf = ({ settings, beliefs, fleet, self, now }: Parts): TargetRegistry => {
+  const { failureDomains, bounds } = settings();
+  return new TargetRegistry({
+    beliefs,
+    fleet,
+    ownRegion: self.region,
+    ownDomain: self.failureDomain,
+    domains: failureDomains,
+    self: self.id,
+    coldOverage: bounds.coldOverage,
+    coldSlack: bounds.coldSlack,
+    now,
+  });
+};
+
+const callersOf = (parts: Parts, registry: TargetRegistry) => {
+  const { settings, beliefs, phase, wire, fleet, metrics, log, now } = parts;
+  return createCallerServer({
+    beliefs,
+    phase,
+    wire,
+    registry,
+    budgetOf: repeatBudgets(() => settings().bounds),
+    fleetSize: () => fleet.size(),
+    versions: () => ({
+      configuration: beliefs.configuration?.version ?? 0,
+      revision: beliefs.revision,
+    }),
+    metrics,
+    log,
+    now,
+  });
+};
+
+/** Answers directory questions from entries, peers heard of directly, and this instance's own state. */
+const lookUpIn =
+  ({ beliefs, vouched, ready, self }: Parts) =>
+  (question: DirectoryQuestion): SocketAddress[] => {
+    const known = new Map(beliefs.instances);
+    vouched.list().forEach((entry) => known.set(entry.id, entry));
+    if (ready()) known.set(self.id, self);
+    else known.delete(self.id);
+    return nearest([...known.values()], question);
+  };
+
+const metricsPageOf = (
+  { metrics, beliefs }: Parts,
+  registry: TargetRegistry,
+  linesDropped: () => number,
+): Server =>
+  createMetricsServer(metrics, () => {
+    metrics.knownTargets.set(registry.size);
+    metrics.knownInstances.set(beliefs.instances.size);
+    metrics.configurationVersion.set(beliefs.configuration?.version ?? 0);
+    metrics.logLinesDropped.set(linesDropped());
+  });
+
+/** Builds the servers; resolves once they listen. */
+export const startListeners = async (
+  parts: Parts,
+  follower: Follower,
+  linesDropped: () => number,
+): Promise<Listeners> => {
+  const { wire, beliefs, vouched, ready, now } = parts;
+  const { listen: at, instance, metricsPort, bounds } = parts.settings();
+  const registry = registryOf(parts);
+  const { server: callers, connections } = callersOf(parts, registry);
+  const directoryTtl = Math.min(DIRECTORY_TTL_SECONDS, bounds.directoryTtlSeconds);
+  const vouch = vouched.hear.bind(vouched);
+  const servers: [Server, string][] = [
+    [callers, at.callers],
+    [createDirectoryServer(wire, lookUpIn(parts), directoryTtl), at.directory],
+    [createReadinessServer(wire, ready), at.readiness],
+    [createPeerServer(peerRouter({ beliefs, follower, vouch, now })), at.peers],
+  ];
+  if (metricsPort > 0)
+    servers.push([metricsPageOf(parts, registry, linesDropped), `${instance.ip}:${metricsPort}`]);
+  await Promise.all(servers.map(([server, address]) => listen(server, address)));
+  return {
+    connections,
+    close: () =>
+      servers.forEach(([server]) => {
+        server.close();
+        server.closeAllConnections();
+      }),
+  };
+};
--- /dev/null
+++ b/packages/gateway/src/parts.ts
@@ -0,0 +1,113 @@
+/** What the parts of one instance share, and the parts that need nothing else. */
+import type { BehaviorSubject } from 'rxjs';
+import type { Follower, InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
+import { Beliefs, follow, startRegistration } from '@cardamomladder/fleet';
+import type { InstanceSettings } from '@cardamomladder/settings';
+import type { GatewayMetrics } from '@cardamomladder/telemetry';
+import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
+import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
+import { logBeliefs } from './beliefLog';
+import type { DecisionLog } from './decisionLog';
+import { decisionLog } from './decisionLog';
+import { FleetMembers } from './lifecycle/fleetMembers';
+import type { Phase } from './lifecycle/phase';
+import { startPhase } from './lifecycle/phase';
+import { askPeers } from './peers/ask';
+import { VouchedPeers } from './peers/vouched';
+import { watchPeer } from './peers/watch';
+import type { Wire } from './wireNames';
+
+/** The shared parts. */
+export interface Parts {
+  /** The settings in force; a reload replaces them. */
+  settings: () => InstanceSettings;
+  store: Store;
+  wire: Wire;
+  log: DecisionLog;
+  metrics: GatewayMetrics;
+  phase: BehaviorSubject<Phase>;
+  beliefs: Beliefs;
+  self: InstanceEntry;
+  vouched: VouchedPeers;
+  fleet: FleetMembers;
+  /** True while this instance takes callers. */
+  ready: () => boolean;
+  /** Steady clock, ms. */
+  now: () => number;
+}
+
+const entryOf = ({ instance, listen }: InstanceSettings): InstanceEntry => ({
+  id: instanceId(instance.id),
+  callerAddress: socketAddress(listen.callers),
+  peerAddress: socketAddress(listen.peers),
+  failureDomain: failureDomainName(instance.failureDomain),
+  region: regionName(instance.region),
+  capacity: {
+    cores: instance.capacity.coreShare * instance.capacity.coreSpeed,
+    linkMbps: instance.capacity.linkMbps,
+  },
+});
+
+/** Builds the shared parts. */
+export const buildParts = (settings: () => InstanceSettings, store: Store, wire: Wire): Parts => {
+  const now = () => performance.now();
+  const log = decisionLog(logger('gateway'), now);
+  const phase = startPhase();
+  const beliefs = new Beliefs();
+  logBeliefs(beliefs, log);
+  return {
+    settings,
+    store,
+    wire,
+    log,
+    metrics: gatewayMetrics(false),
+    phase,
+    beliefs,
+    self: entryOf(settings()),
+    vouched: new VouchedPeers(now),
+    fleet: new FleetMembers(beliefs, now),
+    ready: () => phase.value === 'serving' && beliefs.configuration !== undefined,
+    now,
+  };
+};
+
+/** Starts following the store. */
+export const startFollowing = (parts: Parts): Follower => {
+  const { store, beliefs, self, log, metrics, now, ready } = parts;
+  const { seeds } = parts.settings();
+  const vouchFor = () => (ready() ? self : null);
+  const follower = follow({
+    store,
+    beliefs,
+    self,
+    askPeers: askPeers({ beliefs, self, seeds, vouchFor, log }),
+    watchPeer: watchPeer({ vouchFor, log }),
+    now,
+    random: Math.random,
+  });
+  follower.status.subscribe(({ reached, reason, through }) => {
+    metrics.storeReached.set(reached ? 1 : 0);
+    const event = reached ? 'reached' : 'lost';
+    log.write('store', undefined, { event, reason, through: through?.id });
+  });
+  return follower;
+};
+
+/** Registers once a configuration is known, and serves from then on; returns the registration, if there is one yet. */
+export const registerWhenConfigured = (parts: Parts): (() => Registration | undefined) => {
+  const { store, beliefs, self, phase, log, now } = parts;
+  let registration: Registration | undefined;
+  const waiting = beliefs.changes.subscribe((change) => {
+    if (change.kind !== 'configuration' || phase.value !== 'starting') return;
+    phase.next('serving');
+    queueMicrotask(() => waiting.unsubscribe());
+    registration = startRegistration({
+      store,
+      beliefs,
+      self,
+      now,
+      report: (event, detail) => log.write('registration', undefined, { event, detail }),
+    });
+  });
+  return () => registration;
+};
