--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -55,6 +55,7 @@
           packageDir: packageDirs,
           devDependencies: [
             '**/__tests__/**',
+            '**/__fixtures__/**',
             'vitest.config.ts',
             'eslint.config.mjs',
             'scripts/**',
--- a/packages/cli/src/__fixtures__/tiny.ts
+++ b/packages/cli/src/__fixtures__/tiny.ts
@@ -1,5 +1,8 @@
 /** A small layout for tests: two regions, one failure domain each, three services. */
+import { afterAll, beforeAll } from 'vitest';
 import type { Layout } from '@cardamomladder/document';
+import type { Cluster } from '../demo/cluster';
+import { startCluster } from '../demo/cluster';
 
 export const tiny: Layout = {
   name: 'tiny',
@@ -75,3 +78,15 @@
   new Promise((resolve) => {
     setTimeout(resolve, ms);
   });
+
+/** Starts a cluster of the tiny layout for a test file's tests, and ends it after them. */
+export const useCluster = (
+  options: Omit<Parameters<typeof startCluster>[0], 'layout'>,
+): (() => Cluster) => {
+  let cluster: Cluster;
+  beforeAll(async () => {
+    cluster = await startCluster({ layout: tiny, ...options });
+  });
+  afterAll(() => cluster.stop());
+  return () => cluster;
+};
--- a/packages/cli/src/__tests__/atMostOnce.test.ts
+++ b/packages/cli/src/__tests__/atMostOnce.test.ts
@@ -2,24 +2,15 @@
  * Bookings and arrivals run at most once, and "not run" is said only when
  * nothing ran; checked against the target stand-ins' own execution records.
  */
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import type { Cluster } from '../demo/cluster';
-import { startCluster } from '../demo/cluster';
-import { send, tiny } from '../__fixtures__/tiny';
+import { describe, expect, it } from 'vitest';
+import { send, useCluster } from '../__fixtures__/tiny';
 
-let cluster: Cluster;
+const cluster = useCluster({ memberLagMs: 200 });
 const executions = (key: string) =>
-  (cluster.upstreams.get('book') ?? []).flatMap((u) => u.executions).filter((e) => e.key === key)
+  (cluster().upstreams.get('book') ?? []).flatMap((u) => u.executions).filter((e) => e.key === key)
     .length;
 const setFaults = (faults: Record<string, boolean>) =>
-  (cluster.upstreams.get('book') ?? []).forEach((u) => Object.assign(u.faults, faults));
-
-beforeAll(async () => {
-  cluster = await startCluster({ layout: tiny, memberLagMs: 200 });
-});
-afterAll(async () => {
-  await cluster.stop();
-});
+  (cluster().upstreams.get('book') ?? []).forEach((u) => Object.assign(u.faults, faults));
 
 describe('at most once', () => {
   it('answers "unknown" and never retries when the reply to a booking is lost', async () => {
@@ -28,7 +19,7 @@
     // answer. Cause it guards against: an entry that retries any failed
     // attempt would book again on the second target.
     setFaults({ resetAfterWork: true });
-    const reply = await send(cluster.entries[0].address, '/s/book/visit', {
+    const reply = await send(cluster().entries[0].address, '/s/book/visit', {
       method: 'POST',
       body: '{}',
       headers: { 'idempotency-key': 'visit-1' },
@@ -43,7 +34,7 @@
       }
     `);
     expect(executions('visit-1')).toBe(1);
-    const again = await send(cluster.entries[0].address, '/s/book/visit', {
+    const again = await send(cluster().entries[0].address, '/s/book/visit', {
       method: 'POST',
       body: '{}',
       headers: { 'idempotency-key': 'visit-1' },
@@ -56,10 +47,10 @@
     // Symptom: a kiosk told "not run" re-sends an arrival that had in fact
     // been recorded. Sequence: every target is draining and refuses.
     // Cause it guards against: "not run" given for any failure.
-    const ups = cluster.upstreams.get('book') ?? [];
+    const ups = cluster().upstreams.get('book') ?? [];
     const drains = ups.map((u) => u.drain());
     await Promise.all(drains);
-    const reply = await send(cluster.entries[1].address, '/s/book/visit', {
+    const reply = await send(cluster().entries[1].address, '/s/book/visit', {
       method: 'POST',
       body: '{}',
       headers: { 'idempotency-key': 'visit-2' },
--- a/packages/cli/src/__tests__/badInput.test.ts
+++ b/packages/cli/src/__tests__/badInput.test.ts
@@ -3,26 +3,17 @@
  * breaks: malformed paths, unknown services, oversize bodies, a store that
  * is down, invalid documents and settings.
  */
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 import { applyDocument } from '@cardamomladder/console';
 import { layoutDocument, parseDocument } from '@cardamomladder/document';
 import { validateSettings } from '@cardamomladder/settings';
-import type { Cluster } from '../demo/cluster';
-import { startCluster } from '../demo/cluster';
-import { send, tiny } from '../__fixtures__/tiny';
+import { send, useCluster } from '../__fixtures__/tiny';
 
-let cluster: Cluster;
-
-beforeAll(async () => {
-  cluster = await startCluster({ layout: tiny, memberLagMs: 200 });
-});
-afterAll(async () => {
-  await cluster.stop();
-});
+const cluster = useCluster({ memberLagMs: 200 });
 
 describe('bad input to an entry', () => {
   it('refuses each with a typed error and keeps serving', async () => {
-    const entry = cluster.entries[0].address;
+    const entry = cluster().entries[0].address;
     const cases = {
       malformed: await send(entry, '/nowhere'),
       unknownService: await send(entry, '/s/nosuch/x'),
@@ -63,10 +54,10 @@
     // Symptom: a store outage takes every service down with it. Sequence:
     // the platform KV answers 503 to every call for a while. Cause it
     // guards against: entries that need the store on the request path.
-    cluster.platform.kv.faults.down = true;
-    const during = await send(cluster.entries[1].address, '/s/lookup/x');
-    const apply = await applyDocument(cluster.kv, layoutDocument(tiny, 1), { backoffMs: 1 });
-    cluster.platform.kv.faults.down = false;
+    cluster().platform.kv.faults.down = true;
+    const during = await send(cluster().entries[1].address, '/s/lookup/x');
+    const apply = await applyDocument(cluster().kv, layoutDocument(tiny, 1), { backoffMs: 1 });
+    cluster().platform.kv.faults.down = false;
     expect([during.status, during.outcome]).toEqual([200, 'ok']);
     expect(apply.isErr() && apply.error.kind).toBe('store-unavailable');
   });
--- a/packages/cli/src/__tests__/drain.test.ts
+++ b/packages/cli/src/__tests__/drain.test.ts
@@ -2,20 +2,11 @@
  * Planned stops: a leaving target gets no new work within a few seconds,
  * and no request in flight is cut, long downloads included.
  */
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 import { Caller } from '@cardamomladder/callers';
-import type { Cluster } from '../demo/cluster';
-import { startCluster } from '../demo/cluster';
-import { send, sleep, tiny } from '../__fixtures__/tiny';
+import { send, sleep, useCluster } from '../__fixtures__/tiny';
 
-let cluster: Cluster;
-
-beforeAll(async () => {
-  cluster = await startCluster({ layout: tiny, memberLagMs: 1000, streamMs: { bundle: 1500 } });
-});
-afterAll(async () => {
-  await cluster.stop();
-});
+const cluster = useCluster({ memberLagMs: 1000, streamMs: { bundle: 1500 } });
 
 describe('drains', () => {
   it('sends no new work to a leaving target a few seconds after it starts to leave', async () => {
@@ -23,9 +14,14 @@
     // Sequence: the target starts to leave; the member list publishes this
     // a second later and entries poll it every 500 ms. Cause it guards
     // against: entries trusting only the lagging list.
-    const [leaving] = cluster.upstreams.get('lookup') ?? [];
+    const [leaving] = cluster().upstreams.get('lookup') ?? [];
     const caller = new Caller(
-      cluster.entries.map((e) => ({ id: 'e', address: e.address, failureDomain: '', region: '' })),
+      cluster().entries.map((e) => ({
+        id: 'e',
+        address: e.address,
+        failureDomain: '',
+        region: '',
+      })),
     );
     const draining = leaving.drain();
     const busy = async (ms: number) => {
@@ -48,10 +44,10 @@
     // Sequence: a 2 MiB answer is streaming over 1.5 s; the operator stops
     // the target. Cause it guards against: a stop that closes connections
     // before work in flight ends.
-    const entry = cluster.entries[0].address;
+    const entry = cluster().entries[0].address;
     const downloads = [send(entry, '/s/bundle/plan'), send(entry, '/s/bundle/plan')];
     await sleep(300);
-    const ups = cluster.upstreams.get('bundle') ?? [];
+    const ups = cluster().upstreams.get('bundle') ?? [];
     const busiest = ups.reduce((a, b) => (b.inflight() > a.inflight() ? b : a));
     expect(busiest.inflight()).toBeGreaterThan(0);
     const drainMs = await busiest.drain();
@@ -67,8 +63,8 @@
     // Symptom: a kiosk's briefing cut off when an entry instance is replaced.
     // Sequence: a download runs through entry 1; entry 1 is stopped.
     // Cause it guards against: closing the listener's connections at once.
-    const entry = cluster.entries[1];
-    const ups = cluster.upstreams.get('bundle') ?? [];
+    const entry = cluster().entries[1];
+    const ups = cluster().upstreams.get('bundle') ?? [];
     if (ups.every((u) => u.inflight() === 0)) await sleep(10);
     const download = send(entry.address, '/s/bundle/plan');
     await sleep(200);
