--- a/packages/cli/src/__tests__/badInput.test.ts
+++ b/packages/cli/src/__tests__/badInput.test.ts
@@ -7,7 +7,7 @@
 import { applyDocument } from '@cardamomladder/console';
 import { layoutDocument, parseDocument } from '@cardamomladder/document';
 import { validateSettings } from '@cardamomladder/settings';
-import { send, useCluster } from '../__fixtures__/tiny';
+import { send, tiny, useCluster } from '../__fixtures__/tiny';
 
 const cluster = useCluster({ memberLagMs: 200 });
 
