--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,7 @@
 export default defineConfig({
   test: {
     include: ['platform/src/**/__tests__/**/*.test.ts', 'packages/*/src/**/__tests__/**/*.test.ts'],
+    globalSetup: ['platform/src/__fixtures__/buildProgram.ts'],
     testTimeout: 30_000,
     hookTimeout: 30_000,
     pool: 'forks',
