--- a/packages/soak/src/__tests__/promises.test.ts
+++ b/packages/soak/src/__tests__/promises.test.ts
@@ -9,8 +9,10 @@
   path: '/book/1',
   body: 'b',
   instance: 'i-1',
+  incarnation: 7,
   at: 10_000,
   routed: true,
+  version: 0,
 };
 const good: Answer = { status: 200, at: 10_100, id: 'r-1' };
 const run: RunSeen = { id: 'r-1', path: '/book/1', body: 'b', target: 't-1', at: 10_050 };
@@ -48,6 +50,19 @@
     expect(foundBy(play)).toEqual([promise]);
   });
 
+  it('find a process that goes back to an older configuration, however disturbed it is', () => {
+    const promises = (incarnation: number) =>
+      foundBy((p, disturbances) => {
+        disturbances.begin('all', 0);
+        p.ask({ ...asked, version: 3 });
+        p.answer('r-1', good);
+        p.ask({ ...asked, id: 'r-2', incarnation, at: 10_200, version: 2 });
+        p.answer('r-2', { status: 404, at: 10_300 });
+      });
+    expect(promises(7)).toEqual(['reverted']);
+    expect(promises(8)).toEqual([]);
+  });
+
   it('excuse a lost answer of an instance that was disturbed, but never a second run', () => {
     expect(
       foundBy((p, disturbances) => {
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -14,9 +14,13 @@
   path: string;
   body: string;
   instance: string;
+  /** The process of the instance: what it has shown, another one need not know. */
+  incarnation: number;
   at: number;
   /** Its configuration has been in force for long. */
   routed: boolean;
+  /** The configuration's version that brought its route; 0: all have it. */
+  version: number;
 }
 
 /** What the caller got; status 0: the connection ended without a whole answer. */
@@ -71,6 +75,9 @@
 
   private readonly leftAt = new Map<string, number>();
 
+  /** The newest version whose route each process has served, and since when. */
+  private readonly shown = new Map<number, { version: number; at: number }>();
+
   private readonly found = new Map<string, Violation>();
 
   constructor(
@@ -99,11 +106,16 @@
     this.asked.set(asked.id, asked);
   }
 
-  /** Notes that a target's leaving was acknowledged, or that it is back. */
+  /** Notes that a target's leaving, or its domain's evacuation, was acknowledged. */
   leave(target: string, at: number): void {
     this.leftAt.set(target, at);
   }
 
+  /** Notes that the evacuation of a target's domain was taken back. */
+  rejoin(target: string): void {
+    this.leftAt.delete(target);
+  }
+
   /** Takes a caller's answer and checks it. */
   answer(id: string, answer: Answer): void {
     const asked = this.asked.get(id);
@@ -114,6 +126,7 @@
     const calm = this.disturbances.calm([asked.instance], asked.at, answer.at);
     if (answer.status === NOT_FOUND && asked.routed && this.informed(asked, asked.at, answer.at))
       this.break('configuration', id, `${asked.path} is not found`);
+    this.checkVersion(asked, answer);
     if (calm && answer.at - asked.at > this.bounds.answerMs)
       this.break('late', id, `answered after ${Math.round(answer.at - asked.at)} ms`);
     this.checkOutcome(asked);
@@ -148,6 +161,16 @@
     this.found.set(`${promise} ${subject}`, { promise, detail: `${subject}: ${detail}` });
   }
 
+  /** A process that has shown a version never goes back, whatever disturbs it. */
+  private checkVersion({ id, incarnation, version, at }: Asked, answer: Answer): void {
+    if (version === 0) return;
+    const shown = this.shown.get(incarnation);
+    if (answer.status === 200 && version > (shown?.version ?? 0))
+      this.shown.set(incarnation, { version, at: answer.at });
+    if (answer.status === NOT_FOUND && shown && version <= shown.version && at > shown.at)
+      this.break('reverted', id, `no route of version ${version} after ${shown.version} was shown`);
+  }
+
   /** True when the instance could know what the store said all the while. */
   private informed({ instance }: Asked, from: number, to: number): boolean {
     return this.disturbances.calm([instance, storePathOf(instance), STORE], from, to);
