Count an outage from the followed peer's loss, and find it within one call

Cause: found by reading. When the store falls silent for all, a follower asked it with a watch that waits a second, so it noticed 1.45 s after its relay and counted the outage from then; a store that returned within 0.9 s of that would have had its lapsed entries dropped at once.

Ruled out: counting from the last answer (a second too long for direct watchers, and holds removals that are real).

Change: the first call after a followed peer's failure does not wait, and the outage counts from that failure. The new test failed before (still believed reached 0.7 s after) and passes after.

--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -64,6 +64,72 @@
   return { heldAtOnce: beliefs.holds('targets/t-1') };
 };
 
+/** How long a call to a silent store takes to fail beyond its own wait, ms. */
+const CALL_LIMIT_MS = 450;
+
+/** A store that knows a relay and this instance, and falls silent. */
+const silentStore = () => {
+  const instances = ['i-0', 'i-1'].map((id, i) => ({
+    key: `instances/${id}`,
+    revision: i + 1,
+    fact: { kind: 'instance' as const, instance: instanceAt(id, 'north-a', 'north') },
+  }));
+  let silent = false;
+  const after = (ms: number) => ResultAsync.fromSafePromise(sleep(ms));
+  const store = {
+    list: () =>
+      silent
+        ? after(CALL_LIMIT_MS).andThen(() => errAsync(DOWN))
+        : okAsync({ records: instances, revision: 2 }),
+    watch: (_: number, waitMs: number) =>
+      after(waitMs + CALL_LIMIT_MS).andThen(() =>
+        silent ? errAsync(DOWN) : okAsync({ changes: [], revision: 2 }),
+      ),
+    instanceKey: (id: string) => `instances/${id}`,
+  } as unknown as Store;
+  return {
+    store,
+    fallSilent: () => {
+      silent = true;
+    },
+  };
+};
+
+describe('an instance that follows the store through another', () => {
+  it('takes the store as away from when the other one lost it, within one call', async () => {
+    // Symptom: all requests are refused just after the store returns.
+    // Sequence: the store falls silent; the relay finds out and says so; its
+    // followers ask the store themselves, which takes a watch's whole wait to
+    // fail, and count the outage from then. The store returns within a
+    // second: to them the outage was too short for entries to have lapsed.
+    // Cause: the time since the relay's loss was not counted.
+    const { store, fallSilent } = silentStore();
+    let relayLost = false;
+    const follower = follow({
+      store,
+      beliefs: new Beliefs(),
+      self: instanceAt('i-1', 'north-a', 'north'),
+      askPeers: async () => [],
+      watchPeer: () =>
+        ResultAsync.fromSafePromise(sleep(20)).andThen(() =>
+          relayLost ? errAsync(DOWN) : okAsync({ changes: [], revision: 2 }),
+        ),
+      now: () => performance.now(),
+      random: () => 0.5,
+    });
+    await sleep(100);
+    expect(follower.status.value.through?.id).toBe('i-0');
+    fallSilent();
+    relayLost = true;
+    const lostAt = performance.now();
+    await sleep(CALL_LIMIT_MS + 250);
+    follower.stop();
+    const { reached, since } = follower.status.value;
+    expect(reached).toBe(false);
+    expect(since - lostAt).toBeLessThan(100);
+  });
+});
+
 describe('a target whose entry is missing after an outage', () => {
   it('is kept for a while though a peer had not noticed the outage at first', async () => {
     // Symptom: all requests are refused just after the store returns.
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -114,6 +114,8 @@
   let holdUntil = 0;
   let peerReachedStore = false;
   let relayAgainAt = 0;
+  /** When a followed peer failed, until the store has answered since: it may have been the store's failure. */
+  let suspectSince: number | undefined;
   let asking: Subscription | undefined;
 
   const takeChange = (change: FactChange): void => {
@@ -151,7 +153,7 @@
   const lost = (failure: StoreFailure): void => {
     if (!status.value.reached && asking) return;
     peerReachedStore = false;
-    status.next({ reached: false, since: now(), reason: failure.message });
+    status.next({ reached: false, since: suspectSince ?? now(), reason: failure.message });
     asking = timer(0, PEER_ASK_MS).subscribe(() => {
       ask().catch(() => {
         // askPeers reports and logs its own failures; a rejected promise here
@@ -166,6 +168,7 @@
     status.next({ ...status.value, reason, through });
   };
   const regained = (): void => {
+    suspectSince = undefined;
     if (status.value.reached) return;
     asking?.unsubscribe();
     asking = undefined;
@@ -194,7 +197,10 @@
   };
   const stepWatch = async (): Promise<StoreFailure | undefined> => {
     const after = beliefs.revision;
-    const watched = await store.watch(after, WATCH_WAIT_MS);
+    // After a followed peer's failure the first call does not wait: if the
+    // store is away, that is known a second sooner.
+    const waitMs = suspectSince === undefined ? WATCH_WAIT_MS : 0;
+    const watched = await store.watch(after, waitMs);
     if (watched.isErr()) return watched.error;
     regained();
     changeLog.add(after, watched.value);
@@ -204,8 +210,12 @@
   /** A peer that fails is not the store's failure: the next step watches the store. */
   const stepRelay = async (relay: InstanceEntry): Promise<undefined> => {
     const heard = await watchPeer(relay, beliefs.revision, RELAY_WAIT_MS);
-    if (heard.isOk()) await takeChanges(heard.value);
-    else relayAgainAt = now() + RELAY_PAUSE_MS;
+    if (heard.isOk()) {
+      await takeChanges(heard.value);
+    } else {
+      suspectSince = now();
+      relayAgainAt = suspectSince + RELAY_PAUSE_MS;
+    }
     return undefined;
   };
   const relay = (): InstanceEntry | undefined => {
