--- a/packages/soak/src/__tests__/faultProxy.test.ts
+++ b/packages/soak/src/__tests__/faultProxy.test.ts
@@ -13,10 +13,14 @@
 let arrived: string;
 let proxy: FaultProxy;
 
-const open = async (): Promise<Socket> => {
+const begin = (): Socket => {
   const [host, port] = proxy.address.split(':');
   const socket = connect(Number(port), host);
   socket.on('error', () => {});
+  return socket;
+};
+const open = async (): Promise<Socket> => {
+  const socket = begin();
   await once(socket, 'connect');
   return socket;
 };
@@ -100,8 +104,7 @@
     proxy.resetAll();
     await closed(socket);
     proxy.harm('refuse');
-    const refused = await open();
-    await closed(refused);
+    await closed(begin());
     expect(arrived).toBe('');
   });
 });
