--- a/packages/gateway/src/peers/server.ts
+++ b/packages/gateway/src/peers/server.ts
@@ -30,9 +30,7 @@
 
 const refuse = (res: ServerResponse, error: Error): void => {
   const code = error instanceof TRPCError ? error.code : 'BAD_REQUEST';
-  sendJson(res, STATUS_OF[code] ?? OTHER_FAILURE, {
-    error: { message: error.message, code: -32603, data: { code } },
-  });
+  sendJson(res, STATUS_OF[code] ?? OTHER_FAILURE, { error: { message: error.message } });
 };
 
 /** A server for the peers' questions; a malformed one is refused with what is wrong. */
