--- a/packages/fleet/src/relay.ts
+++ b/packages/fleet/src/relay.ts
@@ -20,10 +20,6 @@
   revision: number;
 }
 
-/** Where `self` stands among those of its failure domain: spreads followers over relays. */
-const turnOf = (self: InstanceEntry, group: readonly RegisteredInstance[]): number =>
-  group.findIndex(({ instance }) => instance.id === self.id);
-
 /** The instance that `self` follows the store through; undefined when it is to watch the store itself. */
 export const relayOf = (
   self: InstanceEntry,
@@ -32,7 +28,8 @@
   const group = registered
     .filter(({ instance }) => instance.region === self.region)
     .sort((a, b) => a.revision - b.revision);
-  const turn = turnOf(self, group);
+  // Its place in the region also spreads the followers over the relays.
+  const turn = group.findIndex(({ instance }) => instance.id === self.id);
   const relays = group.slice(0, Math.ceil(group.length / INSTANCES_PER_RELAY));
   // An instance without an entry (not registered yet, or lapsed) watches for
   // itself: the store may be turning it away, which only its own calls show.
