--- a/scripts/summary.mjs
+++ b/scripts/summary.mjs
@@ -16,6 +16,13 @@
 const unloaded = (results.testResults ?? []).filter(
   (each) => each.status === 'failed' && each.assertionResults.every((t) => t.status !== 'failed'),
 ).length;
-const failed = (results.numFailedTests ?? 0) + unloaded;
+// A snapshot that no test asks for is what is left of a test that was lost:
+// the run would stay green without it. Each counts as one failure.
+const { unchecked: obsolete = 0, uncheckedKeysByFile: obsoleteIn = [] } = results.snapshot ?? {};
+obsoleteIn.forEach(({ filePath, keys }) =>
+  keys.forEach((key) => console.log(`obsolete snapshot: ${filePath}: ${key}`)),
+);
+const failed = (results.numFailedTests ?? 0) + unloaded + obsolete;
 const skipped = (results.numPendingTests ?? 0) + (results.numTodoTests ?? 0);
 console.log(`${passed} passed, ${failed} failed${skipped ? `, ${skipped} skipped` : ''}`);
+if (failed > 0) process.exitCode = 1;
