Know hundreds of targets at little cost: state made at first use, quick rankings, kept cold shares

After each change of the pool every request ranked all targets anew by hashing both names together, and walked the whole ranking twice; each look at a cold target hashed the whole fleet. Change: objects, counts and connections are made at their first use. A target's id is hashed once; rankings sort positions in place; the walk stops at what it looks for; cold targets are looked for only when no warm one takes the request; shares of cold targets are kept until the fleet changes.

--- a/packages/gateway/src/lifecycle/fleetMembers.ts
+++ b/packages/gateway/src/lifecycle/fleetMembers.ts
@@ -22,6 +22,8 @@
 
   private readonly startedAt: number;
 
+  private members: readonly InstanceId[] | undefined;
+
   constructor(
     private readonly beliefs: Beliefs,
     private readonly now: () => number,
@@ -30,16 +32,24 @@
     beliefs.changes.subscribe((change) => {
       if (change.kind === 'instance-gone') this.goneAt.set(change.id, this.now());
       if (change.kind === 'instance') this.goneAt.delete(change.instance.id);
+      if (change.kind === 'instance' || change.kind === 'instance-gone') this.members = undefined;
     });
   }
 
-  /** Instances in the registry now or lately. */
-  list(): InstanceId[] {
+  /** Instances in the registry now or lately; the same array until one comes or goes. */
+  list(): readonly InstanceId[] {
+    this.forget();
+    this.members ??= [...this.beliefs.instances.keys(), ...this.goneAt.keys()];
+    return this.members;
+  }
+
+  private forget(): void {
     const since = this.now() - REMEMBER_MS;
     this.goneAt.forEach((at, id) => {
-      if (at < since) this.goneAt.delete(id);
+      if (at >= since) return;
+      this.goneAt.delete(id);
+      this.members = undefined;
     });
-    return [...this.beliefs.instances.keys(), ...this.goneAt.keys()];
   }
 
   /** How many instances share the budgets; never smaller than what the registry shows. */
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -52,13 +52,14 @@
 /** Sends to one target. */
 export const startSend = (serving: Serving, target: ReachableTarget): Send => {
   const { request, ctx } = serving;
-  const { placed, connections } = target;
+  const { placed } = target;
+  const connections = target.connections();
   const sentAt = ctx.now();
   connections.closeStale(repeatable(request.route.kind) ? 'may-repeat' : 'at-most-once');
   if (placed.coldUntil > sentAt) placed.coldSends.add(sentAt);
   serving.countSend(placed.id);
-  const sent = { remembered: placed.objects.has(request.key), busy: placed.load.busyAt(sentAt) };
-  const { remembered } = sent;
+  const remembered = placed.objects.has(request.key);
+  const sent = { remembered, busy: placed.load.busyAt(sentAt) };
   placed.load.own += 1;
   placed.objects.note(request.key);
   const parent = trace.setSpan(context.active(), serving.span);
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -5,16 +5,11 @@
 import type { Beliefs, BeliefChange, TargetEntry } from '@cardamomladder/fleet';
 import type { Configuration, Service } from '@cardamomladder/routing';
 import type { PlacedTarget, ServicePool } from '@cardamomladder/steering';
-import {
-  HelpAbroad,
-  LongestAnswer,
-  Rankings,
-  coldShare,
-  newTarget,
-} from '@cardamomladder/steering';
+import { HelpAbroad, LongestAnswer, Rankings, newTarget } from '@cardamomladder/steering';
 import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
 import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
+import { ColdShares } from './coldShares';
 import { TargetConnections } from './connections';
 import { IdleLimit } from './idleLimit';
 import { compareRuns } from './runs';
@@ -24,7 +19,8 @@
   placed: PlacedTarget;
   host: string;
   port: number;
-  connections: TargetConnections;
+  /** Its connections, made at the first use: most instances send to few of the targets that they know. */
+  connections: () => TargetConnections;
   /** What it last said of itself. */
   entry: TargetEntry;
 }
@@ -82,10 +78,14 @@
 export class TargetRegistry {
   private readonly targets = new Map<TargetId, ReachableTarget>();
 
+  private readonly opened = new Map<TargetId, TargetConnections>();
+
   private readonly pools = new Map<ServiceName, ServiceTargets>();
 
   private readonly services = new Map<ServiceName, Service>();
 
+  private readonly coldShares: ColdShares;
+
   private readonly demand: ReadonlyMap<RegionName, number>;
 
   /** When each failure domain's last evacuation ended. */
@@ -93,6 +93,7 @@
 
   constructor(private readonly options: TargetRegistryOptions) {
     this.demand = demandOf(options.domains);
+    this.coldShares = new ColdShares(options.self, () => options.fleet.list());
     options.beliefs.changes.subscribe((change) => this.take(change));
   }
 
@@ -132,10 +133,10 @@
   }
 
   private coldShareOf(target: PlacedTarget): number {
-    const { fleet, self, coldOverage, coldSlack } = this.options;
+    const { coldOverage, coldSlack } = this.options;
     const service = this.services.get(target.service);
     const tolerated = (service?.coldRequestsPerSecond ?? 0) * coldOverage + coldSlack;
-    return coldShare(target.id, self, fleet.list(), tolerated);
+    return this.coldShares.of(target.id, tolerated);
   }
 
   private take(change: BeliefChange): void {
@@ -198,17 +199,11 @@
       region: regionName(region),
       slots: entry.slots,
     });
-    const most = this.services.get(entry.service)?.maxConnections ?? DEFAULT_CONNECTIONS;
-    const instances = Math.max(1, this.options.beliefs.instances.size);
     const target: ReachableTarget = {
       placed,
       entry,
       ...splitAddress(entry.address),
-      connections: new TargetConnections(
-        Math.max(LEAST_CONNECTIONS, Math.floor(most / instances)),
-        this.options.now,
-        this.of(entry.service).idleLimit,
-      ),
+      connections: () => this.connectionsTo(entry),
     };
     this.targets.set(entry.id, target);
     this.changePool(entry.service, (targets) => [...targets, placed]);
@@ -221,7 +216,23 @@
     target.placed.leaving = true;
     this.targets.delete(id);
     this.changePool(target.placed.service, (targets) => targets.filter((t) => t.id !== id));
-    target.connections.closeIdleOver(0);
+    this.opened.get(id)?.closeIdleOver(0);
+    this.opened.delete(id);
+    this.coldShares.drop(id);
+  }
+
+  private connectionsTo({ id, service }: TargetEntry): TargetConnections {
+    const known = this.opened.get(id);
+    if (known) return known;
+    const most = this.services.get(service)?.maxConnections ?? DEFAULT_CONNECTIONS;
+    const instances = Math.max(1, this.options.beliefs.instances.size);
+    const created = new TargetConnections(
+      Math.max(LEAST_CONNECTIONS, Math.floor(most / instances)),
+      this.options.now,
+      this.of(service).idleLimit,
+    );
+    this.opened.set(id, created);
+    return created;
   }
 
   private changePool(
--- a/packages/steering/src/placing/choices.ts
+++ b/packages/steering/src/placing/choices.ts
@@ -27,13 +27,6 @@
   abroad?: PlacedTarget;
 }
 
-/** The targets that may take a request. */
-export interface Choices {
-  warm: WarmTargets;
-  /** Those that are cold, best first. */
-  cold: PlacedTarget[];
-}
-
 /**
  * The target that an object stays with though another one ranks first for it.
  *
@@ -43,29 +36,62 @@
  * So an object stays where it is remembered while that target has slots to
  * spare. A target that has learned nothing yet still gets its first objects.
  */
-const keeperOf = (order: readonly PlacedTarget[], request: Placement): PlacedTarget | undefined => {
-  const [first, ...others] = order;
+const keeperOf = (best: readonly PlacedTarget[], request: Placement): PlacedTarget | undefined => {
+  const [first, ...others] = best;
   if (!first || first.objects.has(request.key) || first.objects.size === 0) return undefined;
-  return others
-    .slice(0, KEEPERS)
-    .find((t) => t.objects.has(request.key) && hasRoom(t, KEEP_PER_SLOT, request.now));
+  return others.find((t) => t.objects.has(request.key) && hasRoom(t, KEEP_PER_SLOT, request.now));
+};
+
+/** The first `most` of an order that pass a test; the rest of a long order is not looked at. */
+const firstOf = (
+  order: readonly PlacedTarget[],
+  most: number,
+  test: (target: PlacedTarget) => boolean,
+): PlacedTarget[] => {
+  const found: PlacedTarget[] = [];
+  for (let i = 0; i < order.length && found.length < most; i += 1)
+    if (test(order[i])) found.push(order[i]);
+  return found;
+};
+
+/** The warm ones of an order that may take a request: the best, and the one it stays with. */
+const warmOf = (
+  order: readonly PlacedTarget[],
+  request: Placement,
+  pool: ServicePool,
+): WarmTargets => {
+  const isWarm = (t: PlacedTarget) => admissible(t, pool, request) && !isCold(t, request.now);
+  const best = firstOf(order, 1 + KEEPERS, isWarm);
+  const first = keeperOf(best, request) ?? best[0];
+  if (!first) return {};
+  const second = best.find((target) => target !== first);
+  const abroad = order.find((target) => target.region !== first.region && isWarm(target));
+  return { first, second, abroad };
 };
 
 /**
- * The targets that may take the request. One in another region helps out
+ * The warm targets that may take the request. One in another region helps out
  * before the second, as regions peak at different times and the targets of
- * one region are full together. A cold target is slow and tolerates little,
- * so the next one stands in for it; cold ones come last.
+ * one region are full together.
  */
-export const choicesOf = (request: Placement, pool: ServicePool, rankings: Rankings): Choices => {
-  const order = rankings
-    .of(request.key, request.locality, pool)
-    .filter((target) => admissible(target, pool, request));
-  const warm = order.filter((target) => !isCold(target, request.now));
-  const first = keeperOf(warm, request) ?? warm[0];
-  const others = warm.filter((target) => target !== first);
-  return {
-    warm: { first, second: others[0], abroad: others.find((t) => t.region !== first.region) },
-    cold: order.filter((target) => isCold(target, request.now)).slice(0, COLD_CHOICES),
-  };
-};
+export const warmChoices = (
+  request: Placement,
+  pool: ServicePool,
+  rankings: Rankings,
+): WarmTargets => warmOf(rankings.of(request.key, request.locality, pool), request, pool);
+
+/**
+ * The cold targets that may take the request, best first. A cold target is
+ * slow and tolerates little, so a warm one stands in for it; cold ones are for
+ * requests that no warm one can take.
+ */
+export const coldChoices = (
+  request: Placement,
+  pool: ServicePool,
+  rankings: Rankings,
+): PlacedTarget[] =>
+  firstOf(
+    rankings.of(request.key, request.locality, pool),
+    COLD_CHOICES,
+    (target) => admissible(target, pool, request) && isCold(target, request.now),
+  );
--- a/packages/steering/src/placing/place.ts
+++ b/packages/steering/src/placing/place.ts
@@ -10,7 +10,7 @@
  * helps it out, keeps memories warm, and refusing the rest keeps queues short.
  */
 import type { WarmTargets } from './choices';
-import { choicesOf } from './choices';
+import { coldChoices, warmChoices } from './choices';
 import type { Placement, ServicePool } from './pool';
 import { queuePerSlot } from './queueLimit';
 import type { Rankings } from './rankings';
@@ -76,10 +76,11 @@
   pool: ServicePool,
   rankings: Rankings,
 ): PlacementOutcome => {
-  const { warm, cold } = choicesOf(request, pool, rankings);
   const { now } = request;
+  const warm = warmChoices(request, pool, rankings);
   const chosen = warmChoice(warm, request, pool);
   if (chosen) return { kind: 'placed', target: chosen };
+  const cold = coldChoices(request, pool, rankings);
   const coldOne = cold.find((t) => hasRoom(t, HELP_NEW_PER_SLOT, now) && coldRoom(t, pool, now));
   if (coldOne) return { kind: 'placed', target: coldOne };
   if (!warm.first && cold.length === 0)
--- a/packages/steering/src/placing/rankings.ts
+++ b/packages/steering/src/placing/rankings.ts
@@ -8,14 +8,9 @@
 import { homeShares } from './homeShares';
 import type { ServicePool } from './pool';
 import { usable } from './pool';
-import type { Candidate } from './rendezvous';
 import { rank } from './rendezvous';
 import type { PlacedTarget } from './target';
 
-interface RankedTarget extends Candidate {
-  target: PlacedTarget;
-}
-
 /** A target's weight in ranking. */
 type Weight = (target: PlacedTarget) => number;
 
@@ -48,13 +43,7 @@
     const name = `${locality}|${key}`;
     const known = this.byKey.get(name);
     if (known) return known;
-    const weight = this.weights[locality];
-    const candidates = pool.targets.map((target): RankedTarget => ({
-      id: target.id,
-      weight: weight(target),
-      target,
-    }));
-    const ranked = rank(key, candidates).map(({ target }) => target);
+    const ranked = rank(key, pool.targets, this.weights[locality]);
     this.byKey.set(name, ranked);
     return ranked;
   }
--- a/packages/steering/src/placing/rememberedObjects.ts
+++ b/packages/steering/src/placing/rememberedObjects.ts
@@ -12,25 +12,27 @@
 
 /** One target's objects. */
 export class RememberedObjects {
-  private readonly objects = new LRUCache<ObjectKey, true>({ max: OBJECTS_KEPT });
+  /** Made at the first object: most instances know hundreds of targets and send to few. */
+  private objects: LRUCache<ObjectKey, true> | undefined;
 
   /** How many objects it was sent lately. */
   get size(): number {
-    return this.objects.size;
+    return this.objects?.size ?? 0;
   }
 
   /** True if the target was sent the object lately. */
   has(object: ObjectKey): boolean {
-    return this.objects.has(object);
+    return this.objects?.has(object) ?? false;
   }
 
   /** Notes that a request for the object was sent. */
   note(object: ObjectKey): void {
+    this.objects ??= new LRUCache<ObjectKey, true>({ max: OBJECTS_KEPT });
     this.objects.set(object, true);
   }
 
   /** Takes a note back: the request did not run. */
   forget(object: ObjectKey): void {
-    this.objects.delete(object);
+    this.objects?.delete(object);
   }
 }
--- a/packages/steering/src/placing/rollingCount.ts
+++ b/packages/steering/src/placing/rollingCount.ts
@@ -4,32 +4,33 @@
  * one bucket, so it errs to the high side, which keeps limits safe.
  */
 export class RollingCount {
-  private readonly counts: number[];
+  /** Made at the first event: most targets that an instance knows have none. */
+  private counts: number[] | undefined;
 
   private head = 0;
 
   constructor(
     private readonly windowMs: number,
     private readonly buckets = 20,
-  ) {
-    this.counts = new Array<number>(buckets + 1).fill(0);
-  }
+  ) {}
 
   /** Counts `n` events at `now` (ms). */
   add(now: number, n = 1): void {
+    this.counts ??= new Array<number>(this.buckets + 1).fill(0);
     this.advance(now);
     this.counts[this.head % this.counts.length] += n;
   }
 
   /** Events in the window that ends at `now` (ms). */
   total(now: number): number {
+    if (!this.counts) return 0;
     this.advance(now);
     return this.counts.reduce((sum, n) => sum + n, 0);
   }
 
   private advance(now: number): void {
     const at = Math.floor(now / (this.windowMs / this.buckets));
-    if (at <= this.head) return;
+    if (!this.counts || at <= this.head) return;
     const steps = Math.min(at - this.head, this.counts.length);
     for (let i = 0; i < steps; i += 1) this.counts[(at - i) % this.counts.length] = 0;
     this.head = at;
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -4,6 +4,7 @@
  */
 import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
 import { Load } from './busyEstimate';
+import { hashOf } from './rendezvous';
 import { RememberedObjects } from './rememberedObjects';
 import { RollingCount } from './rollingCount';
 
@@ -19,6 +20,8 @@
 
 /** A target with what this instance has learned of it. Times on the steady clock, ms. */
 export interface PlacedTarget extends TargetFacts {
+  /** The hash of its id, for rankings. */
+  hash: Uint8Array;
   /** Leaving: gets no new work. */
   leaving: boolean;
   /** Cold until then: gets no more than its cold share. */
@@ -60,6 +63,7 @@
 /** A target that was just learned of. */
 export const newTarget = (facts: TargetFacts): PlacedTarget => ({
   ...facts,
+  hash: hashOf(facts.id),
   leaving: false,
   coldUntil: 0,
   avoidUntil: 0,
