--- a/packages/fleet/src/__tests__/snapshot.test.ts
+++ b/packages/fleet/src/__tests__/snapshot.test.ts
@@ -10,13 +10,16 @@
 
 /** Follows for a while; tells which calls the store got, in order. */
 const storeCallsWith = async (
-  snapshot: FactList | undefined,
+  snapshot: FactList | undefined | Promise<FactList | undefined>,
   watch: (call: number) => StoreFailure | undefined = () => undefined,
+  followedForMs = 80,
+  listFails = false,
 ) => {
   const calls: string[] = [];
   const store = {
     list: () => {
       calls.push('list');
+      if (listFails) return errAsync({ kind: 'unavailable', message: 'away' });
       return okAsync(LIST);
     },
     watch: (revision: number) => {
@@ -40,7 +43,7 @@
     now: () => performance.now(),
     random: () => 0.5,
   });
-  await sleep(80);
+  await sleep(followedForMs);
   follower.stop();
   return { calls: calls.slice(0, 3), beliefs };
 };
@@ -60,6 +63,22 @@
   });
 });
 
+describe('a fresh instance beside a peer that is dark', () => {
+  it('lists at the store without waiting for it, and takes its answer where the store has none', async () => {
+    // Symptom: after a power loss of the whole fleet callers are refused for
+    // a second longer. Sequence: the strong instances are up first and ask
+    // the peers that their settings name, which are still dark; connections
+    // to these hang. Cause: the store was asked only after the peer's time.
+    const silent = new Promise<undefined>(() => {});
+    const { calls } = await storeCallsWith(silent, undefined, 200);
+    expect(calls.slice(0, 2)).toEqual(['list', 'watch after 9']);
+    const late = sleep(150).then(() => LIST);
+    const away = await storeCallsWith(late, undefined, 250, true);
+    expect(away.calls.slice(0, 2)).toEqual(['list', 'watch after 9']);
+    expect(away.beliefs.holds('targets/t-2')).toBe(true);
+  });
+});
+
 describe('a watch that failed', () => {
   it('is asked again from the same revision: a list of all entries is for a lost history only', async () => {
     // Symptom: after a short outage every instance lists and decodes all
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -42,6 +42,8 @@
 /** Outages shorter than this lapse nothing, ms: the shortest registration outlives them. */
 const LAPSE_AFTER_MS = 900;
 
+/** How long a fresh instance waits for a peer's snapshot before it lists at the store as well, ms: twice the way to any region and the time to pack. After a power loss of the whole fleet the peer may be dark; waiting for it alone kept the strong instances from serving for 0.8 s. */
+const SNAPSHOT_ALONE_MS = 100;
 /** How long a question to a followed peer waits, ms: with its time to answer (300 ms) and one call to the store it stays below the shortest time allowed to obey a leaving target. */
 const RELAY_WAIT_MS = 700;
 /** How long a followed peer that failed is left alone, ms: the entry of one that was killed is gone by then. */
@@ -185,23 +187,25 @@
     regained();
   };
 
-  /** The first facts of a fresh instance come from a peer, if one has them. */
-  const stepSnapshot = async (): Promise<boolean> => {
-    const list = beliefs.revision === 0 ? await askSnapshot() : undefined;
-    if (!list) return false;
-    regained();
+  const begin = (list: FactList): undefined => {
     takeList(list);
     listNext = false;
-    return true;
+  };
+  const beginFromPeer = (list: FactList): undefined => {
+    regained();
+    begin(list);
   };
   const stepList = async (): Promise<StoreFailure | undefined> => {
-    if (await stepSnapshot()) return undefined;
+    const asked = beliefs.revision === 0 ? askSnapshot() : Promise.resolve(undefined);
+    const early = await Promise.race([asked, pause(SNAPSHOT_ALONE_MS, undefined)]);
+    if (early) return beginFromPeer(early);
     const listed = await store.list();
-    if (listed.isErr()) return listed.error;
+    if (listed.isErr()) {
+      const late = await asked;
+      return late ? beginFromPeer(late) : listed.error;
+    }
     storeAnswered();
-    takeList(listed.value);
-    listNext = false;
-    return undefined;
+    return begin(listed.value);
   };
   const stepWatch = async (): Promise<StoreFailure | undefined> => {
     const after = beliefs.revision;
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -27,8 +27,8 @@
 
 /** Largest request head that is read at all; the configuration's own limit is checked below it. */
 const HEAD_MOST_BYTES = 64 * 1024;
-/** Before a configuration is in force, callers may come back after this, ms. */
-const NO_CONFIGURATION_RETRY_MS = 500;
+/** Before a configuration is in force, callers may come back after this, ms: a started instance has its facts within 0.1 to 0.3 s. */
+const NO_CONFIGURATION_RETRY_MS = 200;
 /** How often Node looks for callers that are too slow with their heads, ms. */
 const CHECK_EVERY_MS = 1000;
 /** A latency is kept in seconds. */
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -5,7 +5,13 @@
 import type { Beliefs, BeliefChange, TargetEntry } from '@cardamomladder/fleet';
 import type { Configuration, Service } from '@cardamomladder/routing';
 import type { PlacedTarget, ServicePool } from '@cardamomladder/steering';
-import { HelpAbroad, LongestAnswer, Rankings, newTarget } from '@cardamomladder/steering';
+import {
+  HelpAbroad,
+  LongestAnswer,
+  Rankings,
+  ReportFade,
+  newTarget,
+} from '@cardamomladder/steering';
 import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
 import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
@@ -30,6 +36,7 @@
   pool: ServicePool;
   rankings: Rankings;
   idleLimit: IdleLimit;
+  reportFade: ReportFade;
   /** The longest answer times of late, for objects that the target was sent before and for those new to it. */
   longest: { remembered: LongestAnswer; first: LongestAnswer };
 }
@@ -105,6 +112,7 @@
     const created: ServiceTargets = {
       rankings: new Rankings(),
       idleLimit: new IdleLimit(),
+      reportFade: new ReportFade(() => created.pool.targets.length),
       longest: { remembered: new LongestAnswer(), first: new LongestAnswer() },
       pool: {
         targets: [],
@@ -191,14 +199,17 @@
 
   private add(entry: TargetEntry): ReachableTarget {
     const region = this.options.domains[entry.failureDomain] ?? '';
-    const placed = newTarget({
-      id: entry.id,
-      service: entry.service,
-      address: entry.address,
-      failureDomain: entry.failureDomain,
-      region: regionName(region),
-      slots: entry.slots,
-    });
+    const placed = newTarget(
+      {
+        id: entry.id,
+        service: entry.service,
+        address: entry.address,
+        failureDomain: entry.failureDomain,
+        region: regionName(region),
+        slots: entry.slots,
+      },
+      this.of(entry.service).reportFade,
+    );
     const target: ReachableTarget = {
       placed,
       entry,
--- a/packages/load/src/player/play.ts
+++ b/packages/load/src/player/play.ts
@@ -6,8 +6,21 @@
  */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { Placement, PlacementOutcome, ServicePool } from '@cardamomladder/steering';
-import { HelpAbroad, Rankings, learnAnswerMs, newTarget, place } from '@cardamomladder/steering';
+import type {
+  PlacedTarget,
+  Placement,
+  PlacementOutcome,
+  ServicePool,
+  TargetFacts,
+} from '@cardamomladder/steering';
+import {
+  HelpAbroad,
+  Rankings,
+  ReportFade,
+  learnAnswerMs,
+  newTarget,
+  place,
+} from '@cardamomladder/steering';
 import {
   failureDomainName,
   objectKey,
@@ -33,6 +46,10 @@
   targetsPerRegion: Record<string, number>;
   target: PlayedTargetOptions;
   objectsPerRegion: number;
+  /** Instances of a region; 3 where not said. With many, each hears from a target seldom. */
+  instancesPerRegion?: number;
+  /** How unevenly objects are asked for: each one's part goes with its place to the power of minus this; 0, all alike, where not said. */
+  skew?: number;
   /** Requests per second of a region at a time, ms. */
   rate: (region: string, atMs: number) => number;
   lengthMs: number;
@@ -61,6 +78,7 @@
 const MS_PER_SECOND = 1000;
 const LOCAL_MS = 1;
 const LOOK_MS = 250;
+const DEFAULT_INSTANCES = 3;
 
 /** The product's placing. */
 export const productRule: PlacingRule = place;
@@ -81,16 +99,34 @@
   return () => uniformFloat64(generator);
 };
 
+/** One instance's view of all targets. */
+const targetsOf = (facts: readonly TargetFacts[]): PlacedTarget[] => {
+  const fade = new ReportFade(() => facts.length);
+  return facts.map((each) => newTarget(each, fade));
+};
+
 interface PlayedInstance {
   region: string;
   pool: ServicePool;
   rankings: Rankings;
 }
 
+/** Draws an object's number, by its part of a region's requests. */
+const objectDraw = ({ objectsPerRegion, skew = 0 }: PlayedLoadOptions, random: () => number) => {
+  const upTo: number[] = [];
+  for (let i = 0; i < objectsPerRegion; i += 1) upTo.push((upTo[i - 1] ?? 0) + (i + 1) ** -skew);
+  const total = upTo[objectsPerRegion - 1];
+  return (): number => {
+    const at = random() * total;
+    return upTo.findIndex((end) => at < end);
+  };
+};
+
 /** Plays the load; the same options give the same report. */
 export const playLoad = (options: PlayedLoadOptions): PlayedReport => {
   const events = new EventQueue();
   const random = seeded(options.seed);
+  const drawObject = objectDraw(options, random);
   const regions = Object.keys(options.targetsPerRegion);
   const places = regions.flatMap((region) =>
     Array.from({ length: options.targetsPerRegion[region] }, (_, i) => ({ region, i })),
@@ -106,11 +142,11 @@
   }));
   const demand = new Map(regions.map((region) => [regionName(region), 1]));
   const instances = regions.flatMap((region): PlayedInstance[] =>
-    Array.from({ length: 3 }, () => ({
+    Array.from({ length: options.instancesPerRegion ?? DEFAULT_INSTANCES }, () => ({
       region,
       rankings: new Rankings(),
       pool: {
-        targets: facts.map(newTarget),
+        targets: targetsOf(facts),
         generation: 1,
         ownRegion: regionName(region),
         ownDomain: failureDomainName(region),
@@ -192,7 +228,7 @@
       report.asked += 1;
       const near = instances.filter((i) => i.region === region);
       const instance = near[Math.floor(random() * near.length)];
-      const object = `${region}/${Math.floor(random() * options.objectsPerRegion)}`;
+      const object = `${region}/${drawObject()}`;
       ask(instance, object, events.now, true);
       arrive(region);
     });
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -5,6 +5,7 @@
 export type { Choice, Reserves, TargetView } from './service';
 export { ServiceSteering } from './service';
 export { Load } from './placing/busyEstimate';
+export { ReportFade } from './placing/reportFade';
 export { coldShare } from './placing/coldAllowance';
 export type { LongestKnown } from './placing/longestAnswer';
 export { LongestAnswer } from './placing/longestAnswer';
--- a/packages/steering/src/placing/__tests__/shares.test.ts
+++ b/packages/steering/src/placing/__tests__/shares.test.ts
@@ -4,7 +4,8 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { Load, REPORT_FRESH_MS, REPORT_STALE_MS } from '../busyEstimate';
+import { Load, REPORT_FRESH_MS } from '../busyEstimate';
+import { REPORT_STALE_MS } from '../reportFade';
 import { coldShare } from '../coldAllowance';
 import { RepeatBudget } from '../repeatBudget';
 import { RollingCount } from '../rollingCount';
--- a/packages/steering/src/placing/busyEstimate.ts
+++ b/packages/steering/src/placing/busyEstimate.ts
@@ -8,10 +8,11 @@
  * report.
  */
 
+import type { ReportFade } from './reportFade';
+import { REPORT_STALE_MS } from './reportFade';
+
 /** A report is taken whole up to this age, in ms: a few answers' time at usual rates. */
 export const REPORT_FRESH_MS = 700;
-/** A report says nothing past this age, in ms. */
-export const REPORT_STALE_MS = 2500;
 
 /** What is known of one target's load. */
 export class Load {
@@ -24,10 +25,14 @@
   /** When the last report came, ms on the steady clock; undefined: never. */
   reportedAt: number | undefined;
 
+  /** `fade`: for how long reports count; the shortest time where not given. */
+  constructor(private readonly fade?: ReportFade) {}
+
   /** Takes the target's report of its running and waiting requests. */
   takeReport(running: number, waiting: number, now: number): void {
     this.others = Math.max(0, running + waiting - this.own);
     this.reportedAt = now;
+    this.fade?.note(now);
   }
 
   /** Estimated requests at the target, running or waiting. */
@@ -35,7 +40,8 @@
     if (this.reportedAt === undefined) return this.own;
     const age = now - this.reportedAt;
     if (age <= REPORT_FRESH_MS) return this.own + this.others;
-    const faded = Math.max(0, 1 - (age - REPORT_FRESH_MS) / (REPORT_STALE_MS - REPORT_FRESH_MS));
+    const staleMs = this.fade?.at(now) ?? REPORT_STALE_MS;
+    const faded = Math.max(0, 1 - (age - REPORT_FRESH_MS) / (staleMs - REPORT_FRESH_MS));
     return this.own + this.others * faded;
   }
 }
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -5,6 +5,7 @@
 import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
 import { Load } from './busyEstimate';
 import { hashOf } from './rendezvous';
+import type { ReportFade } from './reportFade';
 import { RememberedObjects } from './rememberedObjects';
 import { RollingCount } from './rollingCount';
 
@@ -60,15 +61,15 @@
           (unqueuedMs - target.answerMs);
 };
 
-/** A target that was just learned of. */
-export const newTarget = (facts: TargetFacts): PlacedTarget => ({
+/** A target that was just learned of; `fade` is shared by its service's targets. */
+export const newTarget = (facts: TargetFacts, fade?: ReportFade): PlacedTarget => ({
   ...facts,
   hash: hashOf(facts.id),
   leaving: false,
   coldUntil: 0,
   avoidUntil: 0,
   failures: 0,
-  load: new Load(),
+  load: new Load(fade),
   objects: new RememberedObjects(),
   coldSends: new RollingCount(COLD_WINDOW_MS),
 });
