--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -37,6 +37,8 @@
 /** Pause before the first and the longest repeat of a failed call, ms: a fleet of 200 that the store turns away asks it 200 times a second at most. */
 const RETRY_FIRST_MS = 60;
 const RETRY_MOST_MS = 1000;
+/** The longest while a peer reaches the store and passes its facts on, ms: only the way to the store is missing. */
+const RETRY_SERVED_MS = 2000;
 /** How often peers are asked while the store is out of reach, ms. */
 const PEER_ASK_MS = 300;
 /** Outages shorter than this lapse nothing, ms: the shortest registration outlives them. */
@@ -266,7 +268,8 @@
         if (failure.kind === 'history-gone') listNext = true;
         else lost(failure);
         await pause(retryMs * (0.5 + random()));
-        retryMs = Math.min(RETRY_MOST_MS, Math.max(RETRY_FIRST_MS, retryMs * 2));
+        const mostMs = peerReachedStore ? RETRY_SERVED_MS : RETRY_MOST_MS;
+        retryMs = Math.min(mostMs, Math.max(RETRY_FIRST_MS, retryMs * 2));
       }
     }
   };
--- a/packages/fleet/src/registration.ts
+++ b/packages/fleet/src/registration.ts
@@ -13,6 +13,8 @@
 export const REGISTRATION_TTL_MS = 3000;
 /** How often the lease is renewed, ms: two renewals may be lost before it ends. */
 export const RENEW_EVERY_MS = 1000;
+/** After failures in a row registering is tried only every so many times, at most: a third of a large fleet that the store turns away would ask it for a hundred leases a second. */
+const SKIPPED_MOST = 1;
 /** A fresh entry must show up among the followed facts within this time, ms, or it is written again. */
 const SHOWS_WITHIN_MS = 2500;
 
@@ -40,6 +42,8 @@
   let writtenAt = 0;
   let stopped = false;
   let busy = false;
+  let failures = 0;
+  let skipped = 0;
 
   const failed = (step: string, failure: StoreFailure) =>
     report('failed', `${step}: ${failure.message}`);
@@ -47,9 +51,11 @@
   const register = async (): Promise<void> => {
     const lease = await store.grantLease(REGISTRATION_TTL_MS);
     if (lease.isErr()) {
+      failures += 1;
       failed('lease', lease.error);
       return;
     }
+    failures = 0;
     if (stopped) return;
     const written = await store.register(self, lease.value.id);
     if (written.isErr()) {
@@ -63,6 +69,11 @@
 
   const keep = async (): Promise<void> => {
     if (leaseId === undefined) {
+      if (failures > 1 && skipped < SKIPPED_MOST) {
+        skipped += 1;
+        return;
+      }
+      skipped = 0;
       await register();
       return;
     }
--- a/packages/load/src/__tests__/heavyDay.test.ts
+++ b/packages/load/src/__tests__/heavyDay.test.ts
@@ -111,6 +111,33 @@
     expect(mean).toBeGreaterThan(0.93);
   });
 
+  it('keeps more lookups in time where 27 instances share 330 targets, each hearing of a target every ten seconds', () => {
+    // Symptom: one lookup in five is late from a burst on while the fleet is
+    // half full. Sequence: some objects are asked for four times as often as
+    // others and meet on a target; each instance forgets the target's report
+    // long before the next one and takes it for empty. Cause: reports faded
+    // in a fixed time. Credit so: 0.845, with 3,650 late; 0.873 and 2,757
+    // since they fade by how often they come.
+    const report = playLoad({
+      seed: 1,
+      targetsPerRegion: { rvk: 33, aey: 134, egs: 163 },
+      target: { slots: 9, queue: 27, workMs: 3216, warmGain: 0.7, remembers: 70 },
+      objectsPerRegion: 239,
+      instancesPerRegion: 9,
+      skew: 0.35,
+      rate: (region, at) =>
+        (at > 5000 ? 500 : 290) *
+        (1 + 0.55 * Math.sin(2 * Math.PI * (at / PERIOD_MS + PHASE[region]))),
+      lengthMs: 15_000,
+      objectiveMs: 1532,
+      deadlineMs: 12_000,
+      betweenRegionsMs: 20,
+      rule: productRule,
+    });
+    console.log(`credit of a large fleet ${report.credit.toFixed(3)}, late ${report.late}`);
+    expect(report.credit).toBeGreaterThan(0.86);
+  });
+
   it('refuses at once: no caller is held before it hears that there is no room', () => {
     const report = heavyDay(productRule, 5, 600);
     expect(report.refused).toBeGreaterThan(0);
