--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -19,6 +19,7 @@
   knownTargets: Gauge;
   knownInstances: Gauge;
   logLinesDropped: Gauge;
+  loopDelay: Gauge;
 }
 
 /** Creates the metrics of one instance; `defaults` adds those of the process. */
@@ -46,6 +47,7 @@
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force.'),
     knownTargets: gauge('known_targets', 'Targets in the registry.'),
     knownInstances: gauge('known_instances', 'Instances in the registry, this one included.'),
+    loopDelay: gauge('event_loop_delay_seconds', 'How late a timer of this instance last fired.'),
     logLinesDropped: gauge('log_lines_dropped', 'Log lines dropped as the reader was too slow.'),
   };
 };
