A relay says at once that it watches; 'never heard' survives JSON

Found on reading the change again. Cause 2: one that had facts from a peer only told its followers that the store last answered it null ms ago, which counts as a confirmation that an outage is over. Change: what is followed is noted before the question, as it was before the relays had stand-ins; 'never' is a number. Tests: both failed first (through: i-0; null).

--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -109,6 +109,38 @@
 };
 
 describe('an instance that follows the store through another', () => {
+  it('says at once that it watches the store itself when the other one has left', async () => {
+    // Symptom: a second of needless calls to the store after a relay has
+    // stopped. Sequence: the next one in line begins to watch; its followers
+    // ask it and hear that it does not. Cause: it counted as watching only
+    // when its first watch had ended, which waits for a change.
+    const instances = ['i-0', 'i-1'].map((id, i) => ({
+      key: `instances/${id}`,
+      revision: i + 1,
+      fact: { kind: 'instance' as const, instance: instanceAt(id, 'north-a', 'north') },
+    }));
+    const gone = { key: 'instances/i-0', revision: 3, removed: true as const };
+    const store = {
+      list: () => okAsync({ records: instances, revision: 2 }),
+      watch: (_: number, waitMs: number) =>
+        ResultAsync.fromSafePromise(sleep(waitMs)).map(() => ({ changes: [], revision: 3 })),
+      instanceKey: (id: string) => `instances/${id}`,
+    } as unknown as Store;
+    const follower = follow({
+      store,
+      beliefs: new Beliefs(),
+      self: instanceAt('i-1', 'north-a', 'north'),
+      askPeers: async () => [],
+      askSnapshot: async () => undefined,
+      watchPeer: () => okAsync({ changes: [gone], revision: 3, storeHeardMsAgo: 0 }),
+      now: () => performance.now(),
+      random: () => 0.5,
+    });
+    await sleep(600);
+    follower.stop();
+    expect(follower.status.value).toMatchObject({ reached: true, through: undefined });
+  });
+
   it('counts an outage from the first relay that told of it, though the next has not noticed', async () => {
     // Symptom: all requests are refused just after the store returns.
     // Sequence: the first relay loses the store and says so; the second one's
--- a/packages/fleet/src/__tests__/snapshot.test.ts
+++ b/packages/fleet/src/__tests__/snapshot.test.ts
@@ -44,8 +44,9 @@
     random: () => 0.5,
   });
   await sleep(followedForMs);
+  const heardMsAgo = follower.storeHeardMsAgo();
   follower.stop();
-  return { calls: calls.slice(0, 3), beliefs };
+  return { calls: calls.slice(0, 3), beliefs, heardMsAgo };
 };
 
 describe('the first facts of a fresh instance', () => {
@@ -77,6 +78,15 @@
     expect(away.calls.slice(0, 2)).toEqual(['list', 'watch after 9']);
     expect(away.beliefs.holds('targets/t-2')).toBe(true);
   });
+
+  it('tells peers that the store never answered it in a form that JSON keeps', async () => {
+    // Symptom: followers take an outage for over. Sequence: one that has only
+    // a peer's facts begins to watch while the store is away, and is asked.
+    // Cause: "never" as infinity becomes null in JSON, which is below any age.
+    const down: StoreFailure = { kind: 'unavailable', message: 'down' };
+    const { heardMsAgo } = await storeCallsWith(LIST, () => down);
+    expect(JSON.parse(JSON.stringify(heardMsAgo))).toBeGreaterThan(1e9);
+  });
 });
 
 describe('a watch that failed', () => {
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -51,6 +51,9 @@
 /** How long a followed peer that failed is left alone, ms: the entry of one that was killed is gone by then. */
 const RELAY_PAUSE_MS = 3000;
 
+/** Stands for "never" in answers to peers, ms: JSON has no infinity, and null would count as "just now". */
+const NEVER_HEARD_MS = Number.MAX_SAFE_INTEGER;
+
 /** What a peer answers: the changes after the revision asked for, or all facts where it does not keep these; and for how long it has reached the store, unset while it does not. */
 export interface PeerAnswer {
   storeReachedForMs?: number;
@@ -131,7 +134,7 @@
   /** When a followed peer failed, until the store has answered since: it may have been the store's failure. */
   let suspectSince: number | undefined;
   /** When the store itself last answered. */
-  let heardAt = -Infinity;
+  let heardAt: number | undefined;
   let asking: Subscription | undefined;
 
   const takeList = (list: FactList): void => {
@@ -253,6 +256,7 @@
   const step = (): Promise<StoreFailure | undefined> => {
     if (listNext) return stepList();
     const [relay] = relays();
+    followThrough(relay);
     return relay ? stepRelay(relay) : stepWatch();
   };
 
@@ -280,7 +284,7 @@
   return {
     status,
     changeLog,
-    storeHeardMsAgo: () => now() - heardAt,
+    storeHeardMsAgo: () => (heardAt === undefined ? NEVER_HEARD_MS : now() - heardAt),
     stop: () => {
       stopped = true;
       asking?.unsubscribe();
