A line for a caller that left says how long it waited

Cause: 'caller-left' named the sends only; whether callers lost patience or their time was over could not be told. Tests: none of its own; gateway and explain tests pass.

--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -187,7 +187,11 @@
   }, dueMs);
   const left = () => {
     if (res.writableFinished) return;
-    ctx.log.write('caller-left', request.id, { sends: serving.sends });
+    ctx.log.write('caller-left', request.id, {
+      sends: serving.sends,
+      waitedMs: Math.round(ctx.now() - request.arrivedAt),
+      allowedMs: Math.round(request.finalAt - request.arrivedAt),
+    });
     serving.endNow('caller-left');
   };
   res.once('close', left);
