A relay's word on the store counts as of the question, not of its reading

Traced, not load: the second relay says how long ago the store answered it; the follower compared that age with the time since its suspicion when it read the answer. What the answer was under way for (here a busy machine, else up to 40 ms between regions) made the store seem to have been heard after the suspicion, and the outage began anew. Change: the age counts as of the question, which errs to the safe side: a relay that hears the store confirms within its next answers.

--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -108,6 +108,50 @@
   };
 };
 
+/** How long after the store's loss a follower counts it, ms, when its second relay notices a second late. */
+const lossCountedAfter = async (travelMs: number): Promise<number> => {
+  const instances = [...Array(20).keys()].map((i) => ({
+    key: `instances/i-${i}`,
+    revision: i + 1,
+    fact: { kind: 'instance' as const, instance: instanceAt(`i-${i}`, 'north-a', 'north') },
+  }));
+  let away = false;
+  const store = {
+    list: () => okAsync({ records: instances, revision: 20 }),
+    watch: () =>
+      ResultAsync.fromSafePromise(sleep(10)).andThen(() =>
+        away ? errAsync(DOWN) : okAsync({ changes: [], revision: 20 }),
+      ),
+    instanceKey: (id: string) => `instances/${id}`,
+  } as unknown as Store;
+  let firstAsked: string | undefined;
+  let lostAt = Infinity;
+  const follower = follow({
+    store,
+    beliefs: new Beliefs(),
+    self: instanceAt('i-19', 'north-a', 'north'),
+    askPeers: async () => [],
+    askSnapshot: async () => undefined,
+    watchPeer: (peer) =>
+      ResultAsync.fromSafePromise(sleep(20)).andThen(() => {
+        firstAsked ??= peer.id;
+        const heardBefore = Math.max(0, performance.now() - lostAt);
+        const noticed = peer.id === firstAsked ? heardBefore > 0 : heardBefore > 1000;
+        if (noticed) return errAsync(DOWN);
+        const answer = { changes: [], revision: 20, storeHeardMsAgo: heardBefore };
+        return ResultAsync.fromSafePromise(sleep(travelMs, answer));
+      }),
+    now: () => performance.now(),
+    random: () => 0.5,
+  });
+  await sleep(200);
+  away = true;
+  lostAt = performance.now();
+  while (follower.status.value.reached) await sleep(10);
+  follower.stop();
+  return follower.status.value.since - lostAt;
+};
+
 describe('an instance that follows the store through another', () => {
   it('says at once that it watches the store itself when the other one has left', async () => {
     // Symptom: a second of needless calls to the store after a relay has
@@ -146,46 +190,14 @@
     // Sequence: the first relay loses the store and says so; the second one's
     // watch still waits, so it answers as if nothing were wrong, and is found
     // out a second later. Cause: its answer counted as the store's.
-    const instances = [...Array(20).keys()].map((i) => ({
-      key: `instances/i-${i}`,
-      revision: i + 1,
-      fact: { kind: 'instance' as const, instance: instanceAt(`i-${i}`, 'north-a', 'north') },
-    }));
-    let away = false;
-    const store = {
-      list: () => okAsync({ records: instances, revision: 20 }),
-      watch: () =>
-        ResultAsync.fromSafePromise(sleep(10)).andThen(() =>
-          away ? errAsync(DOWN) : okAsync({ changes: [], revision: 20 }),
-        ),
-      instanceKey: (id: string) => `instances/${id}`,
-    } as unknown as Store;
-    let firstAsked: string | undefined;
-    let lostAt = Infinity;
-    const follower = follow({
-      store,
-      beliefs: new Beliefs(),
-      self: instanceAt('i-19', 'north-a', 'north'),
-      askPeers: async () => [],
-      askSnapshot: async () => undefined,
-      watchPeer: (peer) =>
-        ResultAsync.fromSafePromise(sleep(20)).andThen(() => {
-          firstAsked ??= peer.id;
-          const heardBefore = Math.max(0, performance.now() - lostAt);
-          const noticed = peer.id === firstAsked ? heardBefore > 0 : heardBefore > 1000;
-          return noticed
-            ? errAsync(DOWN)
-            : okAsync({ changes: [], revision: 20, storeHeardMsAgo: heardBefore });
-        }),
-      now: () => performance.now(),
-      random: () => 0.5,
-    });
-    await sleep(200);
-    away = true;
-    lostAt = performance.now();
-    while (follower.status.value.reached) await sleep(10);
-    follower.stop();
-    expect(follower.status.value.since - lostAt).toBeLessThan(150);
+    expect(await lossCountedAfter(0)).toBeLessThan(150);
+  });
+
+  it('counts it so though the answer of the one that has not noticed is under way for long', async () => {
+    // Sequence: that answer says how long ago the store was heard when it was
+    // written; it is read later, and the time on the way makes the store seem
+    // to have been heard since. Cause: its age was compared as of the reading.
+    expect(await lossCountedAfter(100)).toBeLessThan(150);
   });
 
   it('takes the store as away from when the other one lost it, within one call', async () => {
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -228,6 +228,7 @@
   /** A peer that fails is not the store's failure: the next step asks another relay, or the store. */
   const stepRelay = async (relay: InstanceEntry): Promise<undefined> => {
     const after = beliefs.revision;
+    const askedAt = now();
     const heard = await watchPeer(relay, after, suspectSince === undefined ? RELAY_WAIT_MS : 0);
     if (heard.isErr()) {
       suspectSince ??= now();
@@ -236,7 +237,9 @@
     }
     // A second relay may not have noticed the outage that the first one told
     // of; the outage counts from the first one's word until the store answers.
-    const confirmed = heard.value.storeHeardMsAgo < now() - (suspectSince ?? -Infinity);
+    // How long its answer was under way is not known: only what it heard after
+    // the suspicion as of the question is sure to be newer.
+    const confirmed = heard.value.storeHeardMsAgo < askedAt - (suspectSince ?? -Infinity);
     if (confirmed) regained();
     followThrough(relay);
     takeChanges(after, heard.value);
