Comments: figures of packing as measured

Measured now: a list of 767 facts is 196 kB as JSON, 27 kB packed (21 kB before base64, 16 kB at the highest level). Comments only; types and lint pass.

--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -32,7 +32,7 @@
 export const WATCH_WAIT_MS = 1000;
 /** Pause after changes, ms, so that those that come close together cost one call: 40 targets that register within two seconds cost 40 calls without it. */
 const GATHER_MS = 150;
-/** The same after changes that a followed peer passed on, ms: an answer costs the peer and this instance a millisecond each, and a starting fleet has hundreds of changes a second. With the peer's own pause it takes a quarter of the shortest time allowed to obey a leaving target. */
+/** The same after changes that a followed peer passed on, ms: a starting fleet has hundreds of changes a second, and a relay answers dozens of followers. With the peer's own pause it takes a quarter of the shortest time allowed to obey a leaving target. */
 const GATHER_FOLLOWED_MS = 300;
 /** Pause before the first and the longest repeat of a failed call, ms: a fleet of 200 that the store turns away asks it 200 times a second at most. */
 const RETRY_FIRST_MS = 60;
--- a/packages/fleet/src/packedFacts.ts
+++ b/packages/fleet/src/packedFacts.ts
@@ -2,14 +2,14 @@
  * A list of facts as one instance hands it to another: compressed text. A
  * fleet that starts as a whole passes its list on hundreds of times within
  * seconds, over links of a few Mbit/s and on quarters of a core; packed, a list
- * of 767 facts is a tenth of its size, and it is packed once per revision.
+ * of 767 facts takes 27 kB in place of 196 kB, and is packed once per revision.
  */
 import { promisify } from 'node:util';
 import { deflateRaw, inflateRaw } from 'node:zlib';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { FactList } from './facts';
 
-/** Compression level: the lowest does nine tenths of the work of the highest here. */
+/** Compression level: 21 kB of such a list before it is text, 16 kB at the highest level, which takes longer while dozens wait. */
 const FASTEST = 1;
 /** Most bytes of an unpacked list: a larger one is no list of ours. */
 const UNPACKED_MOST_BYTES = 32 * 1024 * 1024;
--- a/packages/steering/src/placing/reportFade.ts
+++ b/packages/steering/src/placing/reportFade.ts
@@ -5,7 +5,7 @@
  * targets, so that each one hears from a target every ten seconds or so. With
  * a fixed time, a report is forgotten long before the next one, and nearly
  * every target looks empty: where an instance saw none of a target's slots in
- * use, two thirds were (6,000 sends on a played day of 27 instances and 330
+ * use, two thirds were (3,267 sends on a played day of 27 instances and 330
  * targets). Requests then queue at targets that are full with others' requests.
  * Which targets are full changes slowly, with the objects that they serve.
  */
