Sight: a target's crash is told from a broken connection, and requests are known again

Cause: after an incident in which targets crashed by the dozen, the logs could not tell whether one request was under way at all the crashes or whether targets crashed of load: a line names the id of one attempt, which is new each time, and 'closed' stands for a crash as well as for a reset.

Change: a digest of who asks for what with which body in each line of a failed send; a line and a counter for each crash of a target with the digests that were under way there. A crash is told by no connection being left and new ones being refused; a lost answer or reset leaves others open, which costs no look. No decision changes.

Ruled out as sign of a crash: the registry (an entry outlives its target by three heartbeats), the reset alone (lost answers and full targets reset too).

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -11,6 +11,7 @@
 export type DecisionKind =
   | 'answered'
   | 'send'
+  | 'target-crashed'
   | 'repeat-refused'
   | 'rejected'
   | 'failed'
@@ -27,6 +28,7 @@
 const LINES_PER_SECOND: Record<DecisionKind, number> = {
   answered: 1,
   send: 10,
+  'target-crashed': 20,
   'repeat-refused': 5,
   rejected: 10,
   failed: 10,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -15,6 +15,8 @@
   createMetricsServer,
   createReadinessServer,
 } from './server/smallServers';
+import { CrashWitness } from './targets/crashWitness';
+import { refusesConnections } from './targets/refusal';
 import { TargetRegistry } from './targets/registry';
 import type { DirectoryQuestion } from './wireNames';
 
@@ -51,6 +53,12 @@
   });
 };
 
+const crashWitnessOf = ({ log, metrics }: Parts): CrashWitness =>
+  new CrashWitness(refusesConnections, (crash) => {
+    metrics.targetCrashes.inc();
+    log.write('target-crashed', undefined, { ...crash });
+  });
+
 const callersOf = (parts: Parts, registry: TargetRegistry) => {
   const { settings, beliefs, phase, wire, fleet, metrics, log, now } = parts;
   return createCallerServer({
@@ -58,6 +66,7 @@
     phase,
     wire,
     registry,
+    crashes: crashWitnessOf(parts),
     budgetOf: repeatBudgets(() => settings().bounds),
     fleetSize: () => fleet.size(),
     versions: () => ({
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -8,6 +8,10 @@
 /** One caller's request, read whole. Times on the steady clock, ms. */
 export interface CallerRequest {
   id: RequestId;
+  /** The address that the caller connected from. */
+  caller: string;
+  /** The host that the caller named. */
+  host: string;
   method: string;
   /** Path and query, as the caller sent them. */
   path: string;
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -7,6 +7,7 @@
 import { sendAttempt } from '../targets/attempt';
 import type { ReachableTarget } from '../targets/registry';
 import { passedHeaders } from './answers';
+import { digestOf } from './digest';
 import type { Serving } from './serving';
 import { learn } from './targetHealth';
 
@@ -30,7 +31,7 @@
   ms: number,
 ): void => {
   const { load } = placed;
-  ctx.log.write('send', request.id, {
+  ctx.log.write('send', request.id, () => ({
     target: placed.id,
     send: sends,
     result,
@@ -38,6 +39,14 @@
     busy: load.own + load.others,
     slots: placed.slots,
     loadAgeMs: load.reportedAt === undefined ? undefined : Math.round(ctx.now() - load.reportedAt),
+    digest: digestOf(request),
+  }));
+};
+
+/** Has it looked into whether the target crashed under the request. */
+const witness = ({ request, ctx }: Serving, target: ReachableTarget): void => {
+  ctx.crashes.closedUnder(target, digestOf(request)).catch((error: Error) => {
+    ctx.log.write('failed', request.id, { reason: `no look at a crash: ${error.message}` });
   });
 };
 
@@ -89,6 +98,7 @@
     span.end();
     const name = result.kind === 'answer' ? String(result.status) : result.reason;
     ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
+    if (result.kind === 'lost' && result.reason === 'closed') witness(serving, target);
     if (name !== '200') logSend(serving, target, name, tookMs);
     return result;
   });
--- a/packages/gateway/src/requests/serving.ts
+++ b/packages/gateway/src/requests/serving.ts
@@ -6,6 +6,7 @@
 import type { ServiceName, TargetId } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { Attempt } from '../targets/attempt';
+import type { CrashWitness } from '../targets/crashWitness';
 import type { TargetRegistry } from '../targets/registry';
 import type { Wire } from '../wireNames';
 import { answerOwn } from './answers';
@@ -15,6 +16,7 @@
 export interface ServeContext {
   wire: Wire;
   registry: TargetRegistry;
+  crashes: CrashWitness;
   budgetOf: (service: ServiceName) => RepeatBudget;
   /** Instances that share the repeat budget. */
   fleetSize: () => number;
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -114,6 +114,8 @@
     const waitMs = statedWaitMs(req, wire.headers);
     const request: CallerRequest = {
       id,
+      caller: req.socket.remoteAddress ?? '',
+      host: req.headers.host ?? '',
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       route,
--- /dev/null
+++ b/packages/gateway/src/targets/__tests__/crashWitness.test.ts
@@ -0,0 +1,128 @@
+/** Telling a crashed target from a broken connection, on real sockets. */
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { TargetEntry } from '@cardamomladder/fleet';
+import { requestDigest, targetId } from '@cardamomladder/types';
+import type { Wire } from '../../wireNames';
+import type { Attempt } from '../attempt';
+import { sendAttempt } from '../attempt';
+import { TargetConnections } from '../connections';
+import type { TargetCrash } from '../crashWitness';
+import { CrashWitness } from '../crashWitness';
+import { IdleLimit } from '../idleLimit';
+import { refusesConnections } from '../refusal';
+import type { ReachableTarget } from '../registry';
+
+const wire = { headers: { requestId: 'x-id' }, loadOf: () => undefined } as unknown as Wire;
+const FIRST = requestDigest('first');
+const SECOND = requestDigest('second');
+
+let server: Server;
+let sockets: Socket[];
+let port: number;
+let connections: TargetConnections;
+let crashes: TargetCrash[];
+let looks: number;
+let witness: CrashWitness;
+
+const targetNow = (): ReachableTarget =>
+  ({
+    host: '127.0.0.1',
+    port,
+    connections: () => connections,
+    entry: { id: targetId('t-1'), startedAt: 7 } as TargetEntry,
+  }) as unknown as ReachableTarget;
+/** Sends a request that the target never answers. */
+const begin = (): Attempt =>
+  sendAttempt({
+    host: '127.0.0.1',
+    port,
+    method: 'GET',
+    path: '/',
+    headers: { 'x-id': 'r' },
+    body: undefined,
+    requestId: 'r',
+    timeoutMs: 2000,
+    connections,
+    wire,
+  });
+const connected = async (count: number): Promise<void> => {
+  while (sockets.length < count)
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2);
+    });
+};
+
+beforeEach(async () => {
+  sockets = [];
+  crashes = [];
+  looks = 0;
+  connections = new TargetConnections(8, () => performance.now(), new IdleLimit());
+  witness = new CrashWitness(
+    (host, at) => {
+      looks += 1;
+      return refusesConnections(host, at);
+    },
+    (crash) => crashes.push(crash),
+  );
+  server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => sockets.push(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  port = (server.address() as AddressInfo).port;
+});
+afterEach(() => {
+  connections.destroy();
+  sockets.forEach((socket) => socket.destroy());
+  server.close();
+});
+
+describe('a connection that closes under a request', () => {
+  it('shows a crash when all of them close and new ones are refused', async () => {
+    const target = targetNow();
+    const sends = [begin(), begin()];
+    await connected(2);
+    server.close();
+    sockets.forEach((socket) => socket.resetAndDestroy());
+    await Promise.all(sends.map((send) => send.outcome));
+    const found = await Promise.all([
+      witness.closedUnder(target, FIRST),
+      witness.closedUnder(target, SECOND),
+    ]);
+    expect(found).toEqual([true, true]);
+    expect(looks).toBe(1);
+    // One that is read later belongs to the same crash.
+    await witness.closedUnder(target, requestDigest('third'));
+    expect(crashes).toEqual([
+      { run: 't-1@7', requests: [FIRST, SECOND] },
+      { run: 't-1@7', requests: ['third'] },
+    ]);
+  });
+
+  it('shows none while another connection of the target is open, and costs no look', async () => {
+    // Symptom: requests are blamed for crashes that never were. Sequence: a
+    // target loses the answer to one request by a reset and goes on serving
+    // the others. Cause: a reset alone was taken for the target's end.
+    const target = targetNow();
+    const sends = [begin(), begin()];
+    await connected(2);
+    sockets[0].resetAndDestroy();
+    await Promise.race(sends.map((send) => send.outcome));
+    expect(await witness.closedUnder(target, FIRST)).toBe(false);
+    expect({ crashes, looks }).toEqual({ crashes: [], looks: 0 });
+  });
+
+  it('shows none when the target takes a new connection', async () => {
+    const target = targetNow();
+    const send = begin();
+    await connected(1);
+    sockets[0].resetAndDestroy();
+    await send.outcome;
+    expect(await witness.closedUnder(target, FIRST)).toBe(false);
+    expect({ crashes, looks }).toEqual({ crashes: [], looks: 1 });
+  });
+});
--- a/packages/gateway/src/targets/connections.ts
+++ b/packages/gateway/src/targets/connections.ts
@@ -80,6 +80,14 @@
     super.reuseSocket(socket, request);
   }
 
+  /** True while at least one connection to the target is open. */
+  get anyOpen(): boolean {
+    const all = [...Object.values(this.sockets), ...Object.values(this.freeSockets)];
+    return all.some((sockets) =>
+      sockets?.some((socket) => !socket.connecting && !socket.destroyed),
+    );
+  }
+
   /** Closes connections that have been idle for too long for the next request. */
   closeStale(use: 'may-repeat' | 'at-most-once'): void {
     const now = this.now();
--- /dev/null
+++ b/packages/gateway/src/targets/crashWitness.ts
@@ -0,0 +1,77 @@
+/**
+ * Tells a target that crashed from a connection that broke. Both look alike to
+ * the request that was under way; but after a crash no connection to the
+ * target is left, and its address refuses new ones. A broken link, a lost
+ * answer or a full target leave other connections open or accept a new one,
+ * and a machine without power does not answer at all.
+ */
+import type { RequestDigest, TargetRun } from '@cardamomladder/types';
+import { targetRun } from '@cardamomladder/types';
+import type { ReachableTarget } from './registry';
+
+/** How long to wait for a target's other connections to close too, ms: those of one process close together, their closes are read one after the other. */
+const SETTLE_MS = 10;
+
+/** A run of a target that crashed, and requests that it was working on. */
+export interface TargetCrash {
+  run: TargetRun;
+  requests: readonly RequestDigest[];
+}
+
+/** Whether an address refuses connections. */
+export type RefusalCheck = (host: string, port: number) => Promise<boolean>;
+
+/** A look at one target under way, or its finding that the target crashed. */
+interface Look {
+  requests: Set<RequestDigest>;
+  crashed: Promise<boolean>;
+  settled: boolean;
+}
+
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, SETTLE_MS);
+  });
+
+/** Looks into closed connections, once per target however many requests it closed under. */
+export class CrashWitness {
+  private readonly looks = new WeakMap<ReachableTarget, Look>();
+
+  constructor(
+    private readonly refuses: RefusalCheck,
+    private readonly report: (crash: TargetCrash) => void,
+  ) {}
+
+  /** Takes a request whose connection closed before its answer; true when the target has crashed. */
+  closedUnder(target: ReachableTarget, request: RequestDigest): Promise<boolean> {
+    const known = this.looks.get(target);
+    if (known?.settled) this.reportCrash(target, [request]);
+    if (known) {
+      known.requests.add(request);
+      return known.crashed;
+    }
+    const look: Look = {
+      requests: new Set([request]),
+      crashed: this.look(target),
+      settled: false,
+    };
+    this.looks.set(target, look);
+    return look.crashed;
+  }
+
+  private async look(target: ReachableTarget): Promise<boolean> {
+    await settle();
+    const crashed = !target.connections().anyOpen && (await this.refuses(target.host, target.port));
+    const look = this.looks.get(target);
+    if (!crashed) this.looks.delete(target);
+    if (crashed && look) {
+      look.settled = true;
+      this.reportCrash(target, [...look.requests]);
+    }
+    return crashed;
+  }
+
+  private reportCrash({ entry }: ReachableTarget, requests: readonly RequestDigest[]): void {
+    this.report({ run: targetRun(entry.id, entry.startedAt), requests });
+  }
+}
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -14,6 +14,8 @@
   rejections: Counter<'reason'>;
   attempts: Counter<'result'>;
   repeats: Counter<'granted'>;
+  /** Crashes of targets under requests of this instance. */
+  targetCrashes: Counter;
   storeReached: Gauge;
   configurationVersion: Gauge;
   knownTargets: Gauge;
@@ -43,6 +45,11 @@
     rejections: counter('rejections_total', 'Requests answered "not run", by reason.', ['reason']),
     attempts: counter('target_attempts_total', 'Sends to targets, by result.', ['result']),
     repeats: counter('repeats_total', 'Repeated sends asked of the budget.', ['granted']),
+    targetCrashes: counter(
+      'target_crashes_total',
+      'Targets that crashed under requests of this instance.',
+      [],
+    ),
     storeReached: gauge('store_reached', '1 while the store answers this instance.'),
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force.'),
     knownTargets: gauge('known_targets', 'Targets in the registry.'),
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -30,6 +30,10 @@
 export type ObjectKey = Brand<string, 'ObjectKey'>;
 /** A caller's id for one attempt of a request, unique per attempt. */
 export type RequestId = Brand<string, 'RequestId'>;
+/** Stands for what a request asks and who asks it: the same for each attempt of one request. */
+export type RequestDigest = Brand<string, 'RequestDigest'>;
+/** One run of a target, from its start to its end. */
+export type TargetRun = Brand<string, 'TargetRun'>;
 /** A `host:port` that can be connected to. */
 export type SocketAddress = Brand<string, 'SocketAddress'>;
 /** A key in the platform key-value service. */
@@ -68,5 +72,10 @@
 export const objectKey = (value: string): ObjectKey => value as ObjectKey;
 /** Tags a plain string as a request id; no check is made. */
 export const requestId = (value: string): RequestId => value as RequestId;
+/** Tags a plain string as a request digest; no check is made. */
+export const requestDigest = (value: string): RequestDigest => value as RequestDigest;
+/** Names a target's run by its start, Unix ms; a target that does not tell it gets a new id with each run. */
+export const targetRun = (id: TargetId, startedAt: number | undefined): TargetRun =>
+  `${id}@${startedAt ?? ''}` as TargetRun;
 /** Tags a plain string as a socket address; no check is made. */
 export const socketAddress = (value: string): SocketAddress => value as SocketAddress;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -9,12 +9,14 @@
   LeaseId,
   ObjectKey,
   RegionName,
+  RequestDigest,
   RequestId,
   RequestKey,
   RouteName,
   ServiceName,
   SocketAddress,
   TargetId,
+  TargetRun,
 } from './ids';
 export {
   configurationVersion,
@@ -26,12 +28,14 @@
   leaseId,
   objectKey,
   regionName,
+  requestDigest,
   requestId,
   requestKey,
   routeName,
   serviceName,
   socketAddress,
   targetId,
+  targetRun,
 } from './ids';
 export { splitAddress } from './address';
 export type { FailureKind, SchemaIssue } from './errors';
