A request that crashes targets is kept from them, by all instances

What callers saw: a service's targets crashed by the dozen, nine lookups in ten were late, refused or failed for 8 to 20 s.

Cause: what a request had done to targets was known to one attempt alone. The instance repeated it at the next target, its caller repeated it at the next instance, and each attempt was a new request. The bound on repeats holds for a service as a whole and was kept all the while.

Ruled out: overload as the cause of the crashes (they stop with the request), the repeat budget (kept), resets of connections (targets start again as new runs).

Change: each crash is put together with the requests that were under way (digests). A request that was there at three crashes which no other request explains better is held: not sent, not repeated, answered 503 at once. Reports stand in the store without a lease; what is held follows from the reports alone, so all instances agree, and one that starts anew learns it with its other facts. A suspected request's repeat waits up to 0.1 s for word whether its target crashed; one that a target answers is cleared.

Why it holds: identity is what the request asks, not the attempt; the memory is the fleet's, not the process's; blame goes to the request that explains most crashes, so those that were merely there are not turned away.

--- a/packages/fleet/src/beliefs.ts
+++ b/packages/fleet/src/beliefs.ts
@@ -7,7 +7,7 @@
  */
 import { Subject } from 'rxjs';
 import type { Configuration } from '@cardamomladder/routing';
-import type { FailureDomainName, InstanceId, TargetId } from '@cardamomladder/types';
+import type { CrashReport, FailureDomainName, InstanceId, TargetId } from '@cardamomladder/types';
 import type { Fact, FactChange, FactList, FactRecord, InstanceEntry, TargetEntry } from './facts';
 
 /** A change of belief, for those that act on it and for the log. */
@@ -18,6 +18,8 @@
   | { kind: 'evacuation'; failureDomain: FailureDomainName; active: boolean; revision: number }
   | { kind: 'instance'; instance: InstanceEntry; revision: number }
   | { kind: 'instance-gone'; id: InstanceId; revision: number }
+  | { kind: 'crash-report'; key: string; report: CrashReport; revision: number }
+  | { kind: 'crash-report-gone'; key: string; revision: number }
   | { kind: 'invalid'; key: string; problem: string };
 
 const isRemoval = (change: FactChange): change is Extract<FactChange, { removed: true }> =>
@@ -102,6 +104,8 @@
     } else if (fact.kind === 'instance') {
       this.instances.delete(fact.instance.id);
       this.changes.next({ kind: 'instance-gone', id: fact.instance.id, revision });
+    } else if (fact.kind === 'crash-report') {
+      this.changes.next({ kind: 'crash-report-gone', key, revision });
     }
   }
 
@@ -128,6 +132,9 @@
         this.instances.set(fact.instance.id, fact.instance);
         this.changes.next({ kind: 'instance', instance: fact.instance, revision });
         return;
+      case 'crash-report':
+        this.changes.next({ kind: 'crash-report', key, report: fact.report, revision });
+        return;
       default:
         this.changes.next({ kind: 'invalid', key, problem: fact.problem });
     }
--- /dev/null
+++ b/packages/fleet/src/crashReports.ts
@@ -0,0 +1,203 @@
+/**
+ * Files what this instance sees of crashes in the store, where all others and
+ * those that start later learn of it.
+ *
+ * What is seen is put into force here at once and written soon after: the
+ * store may be away for long, and a request that crashes targets comes again
+ * within a fraction of a second. A failed write is repeated until it is done;
+ * a report has one key, so one that was written without an answer is only
+ * written again. Reports have no lease, as one would end with a power loss or
+ * an outage; they are removed when they are old.
+ */
+import type { CrashReport, RequestDigest, TargetCrash, TargetRun } from '@cardamomladder/types';
+import type { Store, StoreFailure } from './facts';
+
+/** How long to gather before a report is written, ms: all connections of a target that crashed close within this, and a followed fleet learns of it in 0.5 s. */
+export const GATHER_MS = 100;
+/** Between two reports of one instance, ms for each instance of the fleet: when all see crashes without end, they make half of the writes that the store takes (400 a second). */
+const SPACING_PER_INSTANCE_MS = 5;
+/** Pause before the first and the longest repeat of a failed write, ms. */
+const RETRY_FIRST_MS = 100;
+const RETRY_MOST_MS = 2000;
+/** Requests named per crash: three times what targets take at once. */
+const REQUESTS_MOST = 100;
+/** Reports that wait while the store is away; the oldest are given up then. */
+const WAITING_MOST = 200;
+/** How long a report counts, ms: a request that crashes targets may then do so again for three of them. */
+export const REPORT_KEPT_MS = 600_000;
+/** How often old reports are looked for, ms, and the part by which instances differ, so that they do not all remove the same ones. */
+const SWEEP_EVERY_MS = 60_000;
+
+/** Revisions above any of the store's, for reports that it does not have yet. */
+const UNWRITTEN_FROM = 2 ** 52;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Where reports take effect. */
+export interface ReportBook {
+  file: (key: string, revision: number, report: CrashReport) => void;
+  drop: (key: string) => void;
+  olderThan: (ms: number) => string[];
+}
+
+/** What filing needs. */
+export interface CrashReportsOptions {
+  store: Pick<Store, 'fileReport' | 'reportKey' | 'removeReports'>;
+  book: ReportBook;
+  fleetSize: () => number;
+  /** A name that no other report has. */
+  nextId: () => string;
+  random: () => number;
+  log: (event: 'filed' | 'failed' | 'given up' | 'removed', detail: string) => void;
+}
+
+/** A report with its id. */
+interface WaitingReport {
+  id: string;
+  report: CrashReport;
+}
+
+/** What was seen since the last report. */
+class Gathered {
+  private readonly crashes = new Map<TargetRun, Set<RequestDigest>>();
+
+  private readonly answered = new Set<RequestDigest>();
+
+  constructor(
+    readonly id: string,
+    readonly revision: number,
+  ) {}
+
+  addCrash({ run, requests }: TargetCrash): void {
+    const known = this.crashes.get(run) ?? new Set();
+    requests.forEach((request) => {
+      if (known.size < REQUESTS_MOST) known.add(request);
+    });
+    this.crashes.set(run, known);
+  }
+
+  addAnswered(request: RequestDigest): void {
+    this.answered.add(request);
+  }
+
+  report(): CrashReport {
+    return {
+      crashes: [...this.crashes].map(([run, requests]) => ({ run, requests: [...requests] })),
+      answered: [...this.answered],
+    };
+  }
+}
+
+/** The reports of one instance. */
+export class CrashReports {
+  private gathered: Gathered | undefined;
+
+  private readonly waiting: WaitingReport[] = [];
+
+  private filed = 0;
+
+  private writing = false;
+
+  private stopped = false;
+
+  private readonly sweep: NodeJS.Timeout;
+
+  constructor(private readonly options: CrashReportsOptions) {
+    this.sweep = setInterval(() => this.removeOld(), SWEEP_EVERY_MS * (1 + options.random()));
+    this.sweep.unref();
+  }
+
+  /** Takes a crash that this instance saw. */
+  crashed(crash: TargetCrash): void {
+    this.gather((gathered) => gathered.addCrash(crash));
+  }
+
+  /** Takes it that a target answered a suspected request and lived on. */
+  answered(request: RequestDigest): void {
+    this.gather((gathered) => gathered.addAnswered(request));
+  }
+
+  /** Reports that the store does not have yet. */
+  unwritten(): readonly WaitingReport[] {
+    return this.waiting;
+  }
+
+  /** Ends the writing; what waits is lost. */
+  stop(): void {
+    this.stopped = true;
+    clearInterval(this.sweep);
+  }
+
+  private gather(add: (gathered: Gathered) => void): void {
+    const { nextId, store, book } = this.options;
+    const first = this.gathered === undefined;
+    this.filed += first ? 1 : 0;
+    this.gathered ??= new Gathered(nextId(), UNWRITTEN_FROM + this.filed);
+    add(this.gathered);
+    book.file(store.reportKey(this.gathered.id), this.gathered.revision, this.gathered.report());
+    if (first && !this.writing) this.startWriting();
+  }
+
+  private startWriting(): void {
+    this.writing = true;
+    this.write().catch((error: Error) => {
+      this.writing = false;
+      this.options.log('failed', error.message);
+    });
+  }
+
+  /** Writes reports until none is left. */
+  private async write(): Promise<void> {
+    await pause(GATHER_MS);
+    let retryMs = RETRY_FIRST_MS;
+    while (!this.stopped && this.closeGathered()) {
+      const written = await this.writeNext();
+      const spacingMs = Math.max(GATHER_MS, SPACING_PER_INSTANCE_MS * this.options.fleetSize());
+      await pause(written ? spacingMs : retryMs * (0.5 + this.options.random()));
+      retryMs = written ? RETRY_FIRST_MS : Math.min(RETRY_MOST_MS, retryMs * 2);
+    }
+    this.writing = false;
+  }
+
+  /** Queues what was gathered; true while a report waits. */
+  private closeGathered(): boolean {
+    const { gathered, waiting } = this;
+    this.gathered = undefined;
+    if (gathered) waiting.push({ id: gathered.id, report: gathered.report() });
+    if (waiting.length > WAITING_MOST)
+      this.options.log('given up', `report ${waiting.shift()?.id}: ${WAITING_MOST} wait already`);
+    return waiting.length > 0;
+  }
+
+  private async writeNext(): Promise<boolean> {
+    const { store, log } = this.options;
+    const [{ id, report }] = this.waiting;
+    const written = await store.fileReport(id, report);
+    if (written.isErr()) {
+      log('failed', written.error.message);
+      return false;
+    }
+    const at = this.waiting.findIndex((each) => each.id === id);
+    if (at >= 0) this.waiting.splice(at, 1);
+    log('filed', `${id}: ${report.crashes.length} crashes, ${report.answered.length} answered`);
+    return true;
+  }
+
+  private removeOld(): void {
+    const { book, store, log } = this.options;
+    const keys = book.olderThan(REPORT_KEPT_MS);
+    if (keys.length === 0) return;
+    const failed = (failure: StoreFailure) => log('failed', `removal: ${failure.message}`);
+    const removed = () => {
+      keys.forEach((key) => book.drop(key));
+      log('removed', `${keys.length} old reports`);
+    };
+    store
+      .removeReports(keys)
+      .match(removed, failed)
+      .catch((error: Error) => log('failed', error.message));
+  }
+}
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -6,6 +6,7 @@
 import type { ResultAsync } from 'neverthrow';
 import type { Configuration } from '@cardamomladder/routing';
 import type {
+  CrashReport,
   FailureDomainName,
   InstanceId,
   RegionName,
@@ -56,6 +57,7 @@
   | { kind: 'target'; target: TargetEntry }
   | { kind: 'evacuation'; failureDomain: FailureDomainName }
   | { kind: 'instance'; instance: InstanceEntry }
+  | { kind: 'crash-report'; report: CrashReport }
   | { kind: 'invalid'; problem: string };
 
 /** A fact as it stands under its key at a revision of the store. */
@@ -112,6 +114,12 @@
   register: (instance: InstanceEntry, leaseId: number) => ResultAsync<void, StoreFailure>;
   /** Key of an instance's entry, to recognise its removal. */
   instanceKey: (id: InstanceId) => string;
+  /** Writes a report of crashes for good; writing it twice changes nothing. */
+  fileReport: (id: string, report: CrashReport) => ResultAsync<void, StoreFailure>;
+  /** Key of a report. */
+  reportKey: (id: string) => string;
+  /** Removes reports by their keys; those that are gone already are passed over. */
+  removeReports: (keys: readonly string[]) => ResultAsync<void, StoreFailure>;
   /** Drops open connections. */
   close: () => void;
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -29,6 +29,8 @@
 export type { PackedFailure } from './packedFacts';
 export { PackedFacts, packFacts, unpackFacts } from './packedFacts';
 export { strongOf } from './strong';
+export type { CrashReportsOptions, ReportBook } from './crashReports';
+export { CrashReports, REPORT_KEPT_MS } from './crashReports';
 export { WATCH_WAIT_MS, follow } from './follower';
 export type { Registration, RegistrationOptions } from './registration';
 export { REGISTRATION_TTL_MS, RENEW_EVERY_MS, startRegistration } from './registration';
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -33,7 +33,7 @@
   const { store, wire, logWriter } = options;
   let { settings } = options;
   const parts = buildParts(() => settings, store, wire);
-  const { beliefs, metrics, phase, log, now, self } = parts;
+  const { beliefs, metrics, phase, log, now, self, crashReports } = parts;
   // Before following, so that the first configuration is not missed.
   const registration = registerWhenConfigured(parts);
   const follower = startFollowing(parts);
@@ -62,6 +62,7 @@
       });
       stopLoopWatch();
       follower.stop();
+      crashReports.stop();
       listeners.close();
       store.close();
     },
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -12,6 +12,8 @@
   | 'answered'
   | 'send'
   | 'target-crashed'
+  | 'crash-report'
+  | 'quarantine'
   | 'repeat-refused'
   | 'rejected'
   | 'failed'
@@ -29,6 +31,8 @@
   answered: 1,
   send: 10,
   'target-crashed': 20,
+  'crash-report': 10,
+  quarantine: 10,
   'repeat-refused': 5,
   rejected: 10,
   failed: 10,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -53,15 +53,20 @@
   });
 };
 
-const crashWitnessOf = ({ log, metrics }: Parts): CrashWitness =>
+/** Reports crashes, but those that a request held already explains. */
+const crashWitnessOf = ({ quarantine, crashReports, log, metrics }: Parts): CrashWitness =>
   new CrashWitness(refusesConnections, (crash) => {
     metrics.targetCrashes.inc();
     log.write('target-crashed', undefined, { ...crash });
+    if (!crash.requests.some((request) => quarantine.holds(request))) crashReports.crashed(crash);
   });
 
 const callersOf = (parts: Parts, registry: TargetRegistry) => {
-  const { settings, beliefs, phase, wire, fleet, metrics, log, now } = parts;
+  const { settings, beliefs, phase, wire, fleet, quarantine, crashReports, metrics, log, now } =
+    parts;
   return createCallerServer({
+    quarantine,
+    crashReports,
     beliefs,
     phase,
     wire,
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -1,8 +1,10 @@
 /** What the parts of one instance share, and the parts that need nothing else. */
+import { randomUUID } from 'node:crypto';
 import type { BehaviorSubject } from 'rxjs';
 import type { Follower, InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
-import { Beliefs, follow, startRegistration } from '@cardamomladder/fleet';
+import { Beliefs, CrashReports, follow, startRegistration } from '@cardamomladder/fleet';
 import type { InstanceSettings } from '@cardamomladder/settings';
+import { Quarantine } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
 import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
@@ -30,6 +32,10 @@
   self: InstanceEntry;
   vouched: VouchedPeers;
   fleet: FleetMembers;
+  /** Requests kept from targets, as they crash them. */
+  quarantine: Quarantine;
+  /** What this instance saw of crashes. */
+  crashReports: CrashReports;
   /** True while this instance takes callers. */
   ready: () => boolean;
   /** Steady clock, ms. */
@@ -48,6 +54,19 @@
   },
 });
 
+/** The quarantine, as it follows from the reports in the store; each change of what it holds is logged. */
+const quarantineOf = (beliefs: Beliefs, log: DecisionLog, now: () => number): Quarantine => {
+  const quarantine = new Quarantine(now);
+  beliefs.changes.subscribe((change) => {
+    if (change.kind === 'crash-report') quarantine.file(change.key, change.revision, change.report);
+    if (change.kind === 'crash-report-gone') quarantine.drop(change.key);
+  });
+  quarantine.changes.subscribe((held) =>
+    log.write('quarantine', undefined, { held: [...held], revision: beliefs.revision }),
+  );
+  return quarantine;
+};
+
 /** Builds the shared parts. */
 export const buildParts = (settings: () => InstanceSettings, store: Store, wire: Wire): Parts => {
   const now = () => performance.now();
@@ -55,6 +74,8 @@
   const phase = startPhase();
   const beliefs = new Beliefs();
   logBeliefs(beliefs, log);
+  const fleet = new FleetMembers(beliefs, now);
+  const quarantine = quarantineOf(beliefs, log, now);
   return {
     settings,
     store,
@@ -65,7 +86,16 @@
     beliefs,
     self: entryOf(settings()),
     vouched: new VouchedPeers(now),
-    fleet: new FleetMembers(beliefs, now),
+    fleet,
+    quarantine,
+    crashReports: new CrashReports({
+      store,
+      book: quarantine,
+      fleetSize: () => fleet.size(),
+      nextId: randomUUID,
+      random: Math.random,
+      log: (event, detail) => log.write('crash-report', undefined, { event, detail }),
+    }),
     ready: () => phase.value === 'serving' && beliefs.configuration !== undefined,
     now,
   };
--- /dev/null
+++ b/packages/gateway/src/requests/quarantined.ts
@@ -0,0 +1,46 @@
+/** What a send tells of whether its request crashes targets. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { CRASHES_OF_A_CAUSE } from '@cardamomladder/steering';
+import type { AttemptOutcome } from '../targets/attempt';
+import type { ReachableTarget } from '../targets/registry';
+import type { Serving } from './serving';
+
+/** When a caller whose request is held may try again, ms: a wrong attribution is corrected by the next crashes, and a try costs 20 us. */
+export const TRY_AGAIN_MS = 30_000;
+/** How long a repeat of a suspected request waits to hear whether its target crashed, ms: the way there and back between any two regions, and some for a busy instance. */
+const HEAR_WITHIN_MS = 100;
+/** From so many crashes under a request an answer to it is reported: one more without it and the request would be held everywhere. */
+const ANSWERS_TELL_FROM = CRASHES_OF_A_CAUSE - 1;
+
+/** Has it looked into whether the target crashed; never rejects. */
+const witness = async (serving: Serving, target: ReachableTarget): Promise<void> => {
+  const { ctx, request } = serving;
+  try {
+    await ctx.crashes.closedUnder(target, serving.digest);
+  } catch (error) {
+    ctx.log.write('target-crashed', request.id, { problem: (error as Error).message });
+  }
+};
+
+/**
+ * Takes a send's outcome. A repeat goes out at once, as nearly all requests
+ * whose connection closed crash nothing; only that of a suspected one waits
+ * until it is known whether this was a crash too, or it would end one more
+ * target before the crash counts.
+ */
+export const answeredOrCrashed = async (
+  serving: Serving,
+  target: ReachableTarget,
+  outcome: AttemptOutcome,
+): Promise<void> => {
+  const { quarantine, crashReports } = serving.ctx;
+  if (outcome.kind === 'lost' && outcome.reason === 'closed') {
+    const heard = witness(serving, target);
+    if (quarantine.crashesUnder(serving.digest) > 0)
+      await Promise.race([heard, pause(HEAR_WITHIN_MS)]);
+    return;
+  }
+  if (outcome.kind !== 'answer' || quarantine.idle) return;
+  if (quarantine.crashesUnder(serving.digest) >= ANSWERS_TELL_FROM)
+    crashReports.answered(serving.digest);
+};
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -7,7 +7,6 @@
 import { sendAttempt } from '../targets/attempt';
 import type { ReachableTarget } from '../targets/registry';
 import { passedHeaders } from './answers';
-import { digestOf } from './digest';
 import type { Serving } from './serving';
 import { learn } from './targetHealth';
 
@@ -25,11 +24,12 @@
 };
 
 const logSend = (
-  { request, ctx, sends }: Serving,
+  serving: Serving,
   { placed }: ReachableTarget,
   result: string,
   ms: number,
 ): void => {
+  const { request, ctx, sends } = serving;
   const { load } = placed;
   ctx.log.write('send', request.id, () => ({
     target: placed.id,
@@ -39,17 +39,10 @@
     busy: load.own + load.others,
     slots: placed.slots,
     loadAgeMs: load.reportedAt === undefined ? undefined : Math.round(ctx.now() - load.reportedAt),
-    digest: digestOf(request),
+    digest: serving.digest,
   }));
 };
 
-/** Has it looked into whether the target crashed under the request. */
-const witness = ({ request, ctx }: Serving, target: ReachableTarget): void => {
-  ctx.crashes.closedUnder(target, digestOf(request)).catch((error: Error) => {
-    ctx.log.write('failed', request.id, { reason: `no look at a crash: ${error.message}` });
-  });
-};
-
 /** A send under way; `outcome` resolves once its lesson is taken. */
 export interface Send {
   outcome: Promise<AttemptOutcome>;
@@ -98,7 +91,6 @@
     span.end();
     const name = result.kind === 'answer' ? String(result.status) : result.reason;
     ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
-    if (result.kind === 'lost' && result.reason === 'closed') witness(serving, target);
     if (name !== '200') logSend(serving, target, name, tookMs);
     return result;
   });
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -12,6 +12,7 @@
 import { answerOwn, relay } from './answers';
 import type { CallerRequest } from './callerRequest';
 import { LEAST_SEND_MS, silentAfter, worthRepeating } from './repeatPolicy';
+import { answeredOrCrashed, TRY_AGAIN_MS } from './quarantined';
 import type { Send } from './send';
 import { startSend } from './send';
 import type { ServeContext, ServeOutcome } from './serving';
@@ -45,7 +46,7 @@
 /** The target of one more send, if the request, its time and the budget allow one. */
 const nextTarget = (serving: Serving, outcome: AttemptOutcome): ReachableTarget | undefined => {
   const { request, ctx, sends } = serving;
-  if (serving.ended || !serving.maySendMore) return undefined;
+  if (serving.ended || !serving.maySendMore || serving.quarantined) return undefined;
   if (!worthRepeating(request.route.kind, outcome)) return undefined;
   if (request.finalAt - ctx.now() < LEAST_SEND_MS) return undefined;
   const choice = choose(serving);
@@ -150,6 +151,7 @@
 
 /** Sends until there is an answer, nothing more may be sent, or the request has ended. */
 const sendUntilAnswered = async (serving: Serving): Promise<ServeOutcome> => {
+  if (serving.quarantined) return reject(serving, 'quarantined', TRY_AGAIN_MS);
   const choice = choose(serving);
   if (choice.kind === 'rejected') return reject(serving, choice.reason, choice.retryAfterMs);
   let target = serving.ctx.registry.reach(choice.target.id);
@@ -160,6 +162,7 @@
     const afterSilence = await nextAfterSilence(serving, send, target);
     if (afterSilence) send.cancel();
     const outcome = await send.outcome;
+    await answeredOrCrashed(serving, target, outcome);
     if (serving.ended) return serving.ended;
     mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
     if (outcome.kind === 'answer') failure = outcome;
--- a/packages/gateway/src/requests/serving.ts
+++ b/packages/gateway/src/requests/serving.ts
@@ -1,9 +1,10 @@
 /** The state of one request while it is served, and what serving needs of the instance. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
-import type { RepeatBudget } from '@cardamomladder/steering';
+import type { CrashReports } from '@cardamomladder/fleet';
+import type { Quarantine, RepeatBudget } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
-import type { ServiceName, TargetId } from '@cardamomladder/types';
+import type { RequestDigest, ServiceName, TargetId } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { Attempt } from '../targets/attempt';
 import type { CrashWitness } from '../targets/crashWitness';
@@ -11,12 +12,15 @@
 import type { Wire } from '../wireNames';
 import { answerOwn } from './answers';
 import type { CallerRequest } from './callerRequest';
+import { digestOf } from './digest';
 
 /** What serving needs of the instance. */
 export interface ServeContext {
   wire: Wire;
   registry: TargetRegistry;
   crashes: CrashWitness;
+  quarantine: Quarantine;
+  crashReports: Pick<CrashReports, 'answered'>;
   budgetOf: (service: ServiceName) => RepeatBudget;
   /** Instances that share the repeat budget. */
   fleetSize: () => number;
@@ -56,6 +60,20 @@
   /** Sends that reached nobody: no connection was made. */
   private unreached = 0;
 
+  private digested: RequestDigest | undefined;
+
+  /** What tells the request from others; worked out when it is first asked for, which most requests never do. */
+  get digest(): RequestDigest {
+    this.digested ??= digestOf(this.request);
+    return this.digested;
+  }
+
+  /** True when the request must not be sent to a target, as it crashes them. */
+  get quarantined(): boolean {
+    const { quarantine } = this.ctx;
+    return !quarantine.idle && quarantine.holds(this.digest);
+  }
+
   /** Counts a send to `target`. */
   countSend(target: TargetId): void {
     this.sends += 1;
--- a/packages/gateway/src/targets/crashWitness.ts
+++ b/packages/gateway/src/targets/crashWitness.ts
@@ -5,19 +5,13 @@
  * answer or a full target leave other connections open or accept a new one,
  * and a machine without power does not answer at all.
  */
-import type { RequestDigest, TargetRun } from '@cardamomladder/types';
+import type { RequestDigest, TargetCrash } from '@cardamomladder/types';
 import { targetRun } from '@cardamomladder/types';
 import type { ReachableTarget } from './registry';
 
 /** How long to wait for a target's other connections to close too, ms: those of one process close together, their closes are read one after the other. */
 const SETTLE_MS = 10;
 
-/** A run of a target that crashed, and requests that it was working on. */
-export interface TargetCrash {
-  run: TargetRun;
-  requests: readonly RequestDigest[];
-}
-
 /** Whether an address refuses connections. */
 export type RefusalCheck = (host: string, port: number) => Promise<boolean>;
 
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -37,6 +37,7 @@
   targetId,
   targetRun,
 } from './ids';
+export type { CrashReport, TargetCrash } from './crashes';
 export { splitAddress } from './address';
 export type { FailureKind, SchemaIssue } from './errors';
 export { Failure, describeIssues, failure, fieldPath } from './errors';
