A request that crashes targets is known again whoever asks it

Cause: the digest of a request held its caller's address. The request comes from one address after another; none had three crashes to its name.

Change: a request is suspected as one caller asked it, and as anybody may. Of a request that only one caller asked, that caller's is held; once it crashes targets for another one, it is held whoever asks. What targets answer all the while cannot crash them: requests answered in the last 10 s are no suspects for all callers, so what everybody asks is not blamed when several targets crash at once.

Why it holds: the address is a sign that narrows what is held, no longer one that hides it.

--- a/packages/fleet/src/__tests__/crashReports.test.ts
+++ b/packages/fleet/src/__tests__/crashReports.test.ts
@@ -2,12 +2,15 @@
 import { errAsync, okAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { CrashReport } from '@cardamomladder/types';
-import { requestDigest, targetId, targetRun } from '@cardamomladder/types';
+import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
 import { CrashReports, REPORT_KEPT_MS } from '..';
 
 const crashOf = (run: number, ...requests: string[]) => ({
   run: targetRun(targetId(`t-${run}`), run),
-  requests: requests.map(requestDigest),
+  requests: requests.map((name) => ({
+    request: requestDigest(name),
+    caller: callerDigest('c'),
+  })),
 });
 
 let away: boolean;
@@ -62,24 +65,38 @@
     reports.crashed(crashOf(1, 'x', 'a'));
     reports.crashed(crashOf(2, 'b'));
     reports.crashed(crashOf(1, 'c'));
-    reports.answered(requestDigest('d'));
+    reports.answered({ request: requestDigest('d') });
     expect(filed.get('crashes/report-1')).toMatchInlineSnapshot(`
       {
         "answered": [
-          "d",
+          {
+            "request": "d",
+          },
         ],
         "crashes": [
           {
             "requests": [
-              "x",
-              "a",
-              "c",
+              {
+                "caller": "c",
+                "request": "x",
+              },
+              {
+                "caller": "c",
+                "request": "a",
+              },
+              {
+                "caller": "c",
+                "request": "c",
+              },
             ],
             "run": "t-1@1",
           },
           {
             "requests": [
-              "b",
+              {
+                "caller": "c",
+                "request": "b",
+              },
             ],
             "run": "t-2@2",
           },
--- a/packages/fleet/src/crashReports.ts
+++ b/packages/fleet/src/crashReports.ts
@@ -9,7 +9,13 @@
  * written again. Reports have no lease, as one would end with a power loss or
  * an outage; they are removed when they are old.
  */
-import type { CrashReport, RequestDigest, TargetCrash, TargetRun } from '@cardamomladder/types';
+import type {
+  AnsweredRequest,
+  AskedRequest,
+  CrashReport,
+  TargetCrash,
+  TargetRun,
+} from '@cardamomladder/types';
 import type { Store, StoreFailure } from './facts';
 
 /** How long to gather before a report is written, ms: all connections of a target that crashed close within this, and a followed fleet learns of it in 0.5 s. */
@@ -62,9 +68,9 @@
 
 /** What was seen since the last report. */
 class Gathered {
-  private readonly crashes = new Map<TargetRun, Set<RequestDigest>>();
+  private readonly crashes = new Map<TargetRun, AskedRequest[]>();
 
-  private readonly answered = new Set<RequestDigest>();
+  private readonly answered: AnsweredRequest[] = [];
 
   constructor(
     readonly id: string,
@@ -72,20 +78,17 @@
   ) {}
 
   addCrash({ run, requests }: TargetCrash): void {
-    const known = this.crashes.get(run) ?? new Set();
-    requests.forEach((request) => {
-      if (known.size < REQUESTS_MOST) known.add(request);
-    });
-    this.crashes.set(run, known);
+    const known = this.crashes.get(run) ?? [];
+    this.crashes.set(run, [...known, ...requests].slice(0, REQUESTS_MOST));
   }
 
-  addAnswered(request: RequestDigest): void {
-    this.answered.add(request);
+  addAnswered(request: AnsweredRequest): void {
+    this.answered.push(request);
   }
 
   report(): CrashReport {
     return {
-      crashes: [...this.crashes].map(([run, requests]) => ({ run, requests: [...requests] })),
+      crashes: [...this.crashes].map(([run, requests]) => ({ run, requests })),
       answered: [...this.answered],
     };
   }
@@ -116,7 +119,7 @@
   }
 
   /** Takes it that a target answered a suspected request and lived on. */
-  answered(request: RequestDigest): void {
+  answered(request: AnsweredRequest): void {
     this.gather((gathered) => gathered.addAnswered(request));
   }
 
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -54,18 +54,25 @@
 };
 
 /** Reports crashes, but those that a request held already explains. */
-const crashWitnessOf = ({ quarantine, crashReports, log, metrics }: Parts): CrashWitness =>
-  new CrashWitness(refusesConnections, (crash) => {
+const crashWitnessOf = (parts: Parts): CrashWitness => {
+  const { quarantine, answeredLately, crashReports, log, metrics } = parts;
+  return new CrashWitness(refusesConnections, (crash) => {
     metrics.targetCrashes.inc();
     log.write('target-crashed', undefined, { ...crash });
-    if (!crash.requests.some((request) => quarantine.holds(request))) crashReports.crashed(crash);
+    if (crash.requests.some((asked) => quarantine.holds(asked))) return;
+    crashReports.crashed(crash);
+    crash.requests
+      .filter(({ request }) => answeredLately.has(request))
+      .forEach(({ request }) => crashReports.answered({ request }));
   });
+};
 
 const callersOf = (parts: Parts, registry: TargetRegistry) => {
-  const { settings, beliefs, phase, wire, fleet, quarantine, crashReports, metrics, log, now } =
-    parts;
+  const { settings, beliefs, phase, wire, fleet, metrics, log, now } = parts;
+  const { quarantine, answeredLately, crashReports } = parts;
   return createCallerServer({
     quarantine,
+    answeredLately,
     crashReports,
     beliefs,
     phase,
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -4,7 +4,7 @@
 import type { Follower, InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
 import { Beliefs, CrashReports, follow, startRegistration } from '@cardamomladder/fleet';
 import type { InstanceSettings } from '@cardamomladder/settings';
-import { Quarantine } from '@cardamomladder/steering';
+import { AnsweredLately, Quarantine } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
 import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
@@ -34,6 +34,7 @@
   fleet: FleetMembers;
   /** Requests kept from targets, as they crash them. */
   quarantine: Quarantine;
+  answeredLately: AnsweredLately;
   /** What this instance saw of crashes. */
   crashReports: CrashReports;
   /** True while this instance takes callers. */
@@ -88,6 +89,7 @@
     vouched: new VouchedPeers(now),
     fleet,
     quarantine,
+    answeredLately: new AnsweredLately(now),
     crashReports: new CrashReports({
       store,
       book: quarantine,
--- a/packages/gateway/src/requests/__tests__/digest.test.ts
+++ b/packages/gateway/src/requests/__tests__/digest.test.ts
@@ -4,6 +4,7 @@
 
 const request = {
   caller: '10.0.0.7',
+  credentials: '',
   method: 'POST',
   host: 'a.example',
   path: '/book/1?x=2',
@@ -12,19 +13,35 @@
 
 describe('the digest of a request', () => {
   it('is the same at each instance and for each attempt', () => {
-    expect(digestOf({ ...request, body: Buffer.from('{"visit":1}') })).toBe(digestOf(request));
-    expect(digestOf(request)).toMatchInlineSnapshot(`"J775zvxudXqhBazh"`);
+    expect(digestOf({ ...request, body: Buffer.from('{"visit":1}') })).toEqual(digestOf(request));
+    expect(digestOf(request)).toMatchInlineSnapshot(`
+      {
+        "caller": "2k5XwBNQ",
+        "request": "jIWtlNTzk3_sf4Xn",
+      }
+    `);
   });
 
   it('differs with each thing that makes it another request', () => {
     const others = [
-      { ...request, caller: '10.0.0.8' },
       { ...request, method: 'GET' },
       { ...request, host: 'b.example' },
       { ...request, path: '/book/1?x=3' },
       { ...request, body: Buffer.from('{"visit":2}') },
       { ...request, body: undefined },
     ];
-    expect(new Set([request, ...others].map(digestOf)).size).toBe(others.length + 1);
+    const digests = [request, ...others].map((each) => digestOf(each).request);
+    expect(new Set(digests).size).toBe(others.length + 1);
+  });
+
+  it('tells callers apart by address and by credentials, and the request by neither', () => {
+    const others = [
+      { ...request, caller: '10.0.0.8' },
+      { ...request, credentials: 'Bearer one' },
+      { ...request, credentials: 'Bearer two' },
+    ];
+    const digests = [request, ...others].map(digestOf);
+    expect(new Set(digests.map(({ caller }) => caller)).size).toBe(others.length + 1);
+    expect(new Set(digests.map((each) => each.request)).size).toBe(1);
   });
 });
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -10,6 +10,8 @@
   id: RequestId;
   /** The address that the caller connected from. */
   caller: string;
+  /** What the caller proves itself with; empty when it does not. */
+  credentials: string;
   /** The host that the caller named. */
   host: string;
   method: string;
--- a/packages/gateway/src/requests/digest.ts
+++ b/packages/gateway/src/requests/digest.ts
@@ -1,18 +1,31 @@
-/** The digest by which a request is known again, whichever instance gets it next. */
+/** The digests by which a request is known again, whichever instance gets it next. */
 import { createHash } from 'node:crypto';
-import type { RequestDigest } from '@cardamomladder/types';
-import { requestDigest } from '@cardamomladder/types';
+import type { AskedRequest } from '@cardamomladder/types';
+import { callerDigest, requestDigest } from '@cardamomladder/types';
 import type { CallerRequest } from './callerRequest';
 
-/** Length of a digest, characters of base64: 96 bits, so that no two requests of a day share one. */
-const DIGEST_LENGTH = 16;
+/** Length of a request's digest, characters of base64: 96 bits, so that no two requests of a day share one. */
+const REQUEST_LENGTH = 16;
+/** Length of a caller's, 48 bits: it only tells apart callers that ask the same. */
+const CALLER_LENGTH = 8;
 
 /** What tells one request from another; its id does not, as each attempt has a new one. */
-export type DigestedRequest = Pick<CallerRequest, 'caller' | 'method' | 'host' | 'path' | 'body'>;
+export type DigestedRequest = Pick<
+  CallerRequest,
+  'caller' | 'credentials' | 'method' | 'host' | 'path' | 'body'
+>;
 
-/** The digest of a request: who asks for what, with which body. */
-export const digestOf = ({ caller, method, host, path, body }: DigestedRequest): RequestDigest => {
-  const hash = createHash('sha256').update(`${caller}\n${method}\n${host}\n${path}\n`);
+const short = (length: number, text: string, body?: Buffer): string => {
+  const hash = createHash('sha256').update(text);
   if (body) hash.update(body);
-  return requestDigest(hash.digest('base64url').slice(0, DIGEST_LENGTH));
+  return hash.digest('base64url').slice(0, length);
+};
+
+/** What is asked, and by whom. One caller may come from several addresses, and several from one. */
+export const digestOf = (asked: DigestedRequest): AskedRequest => {
+  const { caller, credentials, method, host, path, body } = asked;
+  return {
+    request: requestDigest(short(REQUEST_LENGTH, `${method}\n${host}\n${path}\n`, body)),
+    caller: callerDigest(short(CALLER_LENGTH, `${caller}\n${credentials}`)),
+  };
 };
--- a/packages/gateway/src/requests/quarantined.ts
+++ b/packages/gateway/src/requests/quarantined.ts
@@ -16,7 +16,7 @@
 const witness = async (serving: Serving, target: ReachableTarget): Promise<void> => {
   const { ctx, request } = serving;
   try {
-    await ctx.crashes.closedUnder(target, serving.digest);
+    await ctx.crashes.closedUnder(target, serving.asked);
   } catch (error) {
     ctx.log.write('target-crashed', request.id, { problem: (error as Error).message });
   }
@@ -33,14 +33,15 @@
   target: ReachableTarget,
   outcome: AttemptOutcome,
 ): Promise<void> => {
-  const { quarantine, crashReports } = serving.ctx;
+  const { quarantine, answeredLately, crashReports } = serving.ctx;
   if (outcome.kind === 'lost' && outcome.reason === 'closed') {
     const heard = witness(serving, target);
-    if (quarantine.crashesUnder(serving.digest) > 0)
+    if (quarantine.crashesUnder(serving.asked) > 0)
       await Promise.race([heard, pause(HEAR_WITHIN_MS)]);
     return;
   }
-  if (outcome.kind !== 'answer' || quarantine.idle) return;
-  if (quarantine.crashesUnder(serving.digest) >= ANSWERS_TELL_FROM)
-    crashReports.answered(serving.digest);
+  if (outcome.kind !== 'answer') return;
+  answeredLately.note(serving.asked.request);
+  if (!quarantine.idle && quarantine.crashesUnder(serving.asked) >= ANSWERS_TELL_FROM)
+    crashReports.answered(serving.asked);
 };
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -39,7 +39,7 @@
     busy: load.own + load.others,
     slots: placed.slots,
     loadAgeMs: load.reportedAt === undefined ? undefined : Math.round(ctx.now() - load.reportedAt),
-    digest: serving.digest,
+    asked: serving.asked,
   }));
 };
 
--- a/packages/gateway/src/requests/serving.ts
+++ b/packages/gateway/src/requests/serving.ts
@@ -2,9 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
 import type { CrashReports } from '@cardamomladder/fleet';
-import type { Quarantine, RepeatBudget } from '@cardamomladder/steering';
+import type { AnsweredLately, Quarantine, RepeatBudget } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
-import type { RequestDigest, ServiceName, TargetId } from '@cardamomladder/types';
+import type { AskedRequest, ServiceName, TargetId } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { Attempt } from '../targets/attempt';
 import type { CrashWitness } from '../targets/crashWitness';
@@ -20,6 +20,7 @@
   registry: TargetRegistry;
   crashes: CrashWitness;
   quarantine: Quarantine;
+  answeredLately: AnsweredLately;
   crashReports: Pick<CrashReports, 'answered'>;
   budgetOf: (service: ServiceName) => RepeatBudget;
   /** Instances that share the repeat budget. */
@@ -60,10 +61,10 @@
   /** Sends that reached nobody: no connection was made. */
   private unreached = 0;
 
-  private digested: RequestDigest | undefined;
+  private digested: AskedRequest | undefined;
 
-  /** What tells the request from others; worked out when it is first asked for, which most requests never do. */
-  get digest(): RequestDigest {
+  /** What tells the request from others; worked out when it is first asked for. */
+  get asked(): AskedRequest {
     this.digested ??= digestOf(this.request);
     return this.digested;
   }
@@ -71,7 +72,7 @@
   /** True when the request must not be sent to a target, as it crashes them. */
   get quarantined(): boolean {
     const { quarantine } = this.ctx;
-    return !quarantine.idle && quarantine.holds(this.digest);
+    return !quarantine.idle && quarantine.holds(this.asked);
   }
 
   /** Counts a send to `target`. */
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -115,6 +115,7 @@
     const request: CallerRequest = {
       id,
       caller: req.socket.remoteAddress ?? '',
+      credentials: req.headers.authorization ?? '',
       host: req.headers.host ?? '',
       method: req.method ?? 'GET',
       path: req.url ?? '/',
--- a/packages/gateway/src/targets/__tests__/crashWitness.test.ts
+++ b/packages/gateway/src/targets/__tests__/crashWitness.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { TargetEntry } from '@cardamomladder/fleet';
 import type { TargetCrash } from '@cardamomladder/types';
-import { requestDigest, targetId } from '@cardamomladder/types';
+import { callerDigest, requestDigest, targetId } from '@cardamomladder/types';
 import type { Wire } from '../../wireNames';
 import type { Attempt } from '../attempt';
 import { sendAttempt } from '../attempt';
@@ -15,8 +15,9 @@
 import type { ReachableTarget } from '../registry';
 
 const wire = { headers: { requestId: 'x-id' }, loadOf: () => undefined } as unknown as Wire;
-const FIRST = requestDigest('first');
-const SECOND = requestDigest('second');
+const asked = (name: string) => ({ request: requestDigest(name), caller: callerDigest('c') });
+const FIRST = asked('first');
+const SECOND = asked('second');
 
 let server: Server;
 let sockets: Socket[];
@@ -96,10 +97,10 @@
     expect(found).toEqual([true, true]);
     expect(looks).toBe(1);
     // One that is read later belongs to the same crash.
-    await witness.closedUnder(target, requestDigest('third'));
+    await witness.closedUnder(target, asked('third'));
     expect(crashes).toEqual([
       { run: 't-1@7', requests: [FIRST, SECOND] },
-      { run: 't-1@7', requests: ['third'] },
+      { run: 't-1@7', requests: [asked('third')] },
     ]);
   });
 
--- a/packages/gateway/src/targets/crashWitness.ts
+++ b/packages/gateway/src/targets/crashWitness.ts
@@ -5,7 +5,7 @@
  * answer or a full target leave other connections open or accept a new one,
  * and a machine without power does not answer at all.
  */
-import type { RequestDigest, TargetCrash } from '@cardamomladder/types';
+import type { AskedRequest, TargetCrash } from '@cardamomladder/types';
 import { targetRun } from '@cardamomladder/types';
 import type { ReachableTarget } from './registry';
 
@@ -17,7 +17,7 @@
 
 /** A look at one target under way, or its finding that the target crashed. */
 interface Look {
-  requests: Set<RequestDigest>;
+  requests: AskedRequest[];
   crashed: Promise<boolean>;
   settled: boolean;
 }
@@ -37,15 +37,15 @@
   ) {}
 
   /** Takes a request whose connection closed before its answer; true when the target has crashed. */
-  closedUnder(target: ReachableTarget, request: RequestDigest): Promise<boolean> {
+  closedUnder(target: ReachableTarget, request: AskedRequest): Promise<boolean> {
     const known = this.looks.get(target);
     if (known?.settled) this.reportCrash(target, [request]);
     if (known) {
-      known.requests.add(request);
+      known.requests.push(request);
       return known.crashed;
     }
     const look: Look = {
-      requests: new Set([request]),
+      requests: [request],
       crashed: this.look(target),
       settled: false,
     };
@@ -65,7 +65,7 @@
     return crashed;
   }
 
-  private reportCrash({ entry }: ReachableTarget, requests: readonly RequestDigest[]): void {
+  private reportCrash({ entry }: ReachableTarget, requests: readonly AskedRequest[]): void {
     this.report({ run: targetRun(entry.id, entry.startedAt), requests });
   }
 }
--- a/packages/steering/src/quarantine/__tests__/attribution.test.ts
+++ b/packages/steering/src/quarantine/__tests__/attribution.test.ts
@@ -1,18 +1,39 @@
 /** Which requests are blamed for crashes. */
 import { describe, expect, it } from 'vitest';
 import fc from 'fast-check';
-import type { RequestDigest } from '@cardamomladder/types';
-import { requestDigest } from '@cardamomladder/types';
-import { attributeCrashes } from '../attribution';
+import { callerDigest, requestDigest } from '@cardamomladder/types';
+import type { SuspectedCrash } from '../attribution';
+import { askedByAnyone, askedByOne, attributeCrashes } from '../attribution';
 
-const crash = (...requests: string[]): Set<RequestDigest> => new Set(requests.map(requestDigest));
-const blamed = (...crashes: Set<RequestDigest>[]): string[] =>
+/** A crash under requests, each written as its name, or as name/caller. */
+const crash = (...requests: string[]): SuspectedCrash =>
+  new Set(
+    requests.flatMap((text) => {
+      const [name, caller = 'c'] = text.split('/');
+      const asked = { request: requestDigest(name), caller: callerDigest(caller) };
+      return [askedByAnyone(asked.request), askedByOne(asked)];
+    }),
+  );
+const blamed = (...crashes: SuspectedCrash[]): string[] =>
   [...attributeCrashes(crashes).causes].sort();
 
 describe('crashes', () => {
   it('are blamed on the request that was there at three of them', () => {
     expect(blamed(crash('x', 'a'), crash('x', 'b'))).toEqual([]);
-    expect(blamed(crash('x', 'a'), crash('x', 'b'), crash('c', 'x'))).toEqual(['x']);
+    expect(blamed(crash('x', 'a'), crash('x', 'b'), crash('c', 'x'))).toEqual(['x/c']);
+  });
+
+  it('are blamed on one caller of a request, until it crashes targets for another one', () => {
+    const ofOne = [crash('x/c'), crash('x/c'), crash('x/c', 'a')];
+    expect(blamed(...ofOne)).toEqual(['x/c']);
+    expect(blamed(...ofOne, crash('x/d'))).toEqual(['x']);
+  });
+
+  it('are blamed on a request that comes from another address each time', () => {
+    // Symptom: targets go on crashing by the dozen, nothing is held. Sequence:
+    // the request comes from one caller after another. Cause: it was known
+    // again only by what is asked and from where.
+    expect(blamed(crash('x/c', 'a'), crash('x/d', 'b'), crash('x/e'))).toEqual(['x']);
   });
 
   it('are not blamed on others that were there as often as the count asks', () => {
@@ -27,26 +48,25 @@
       crash('x', 'b'),
       crash('x', 'b'),
     );
-    expect(causes).toEqual(['x']);
+    expect(causes).toEqual(['x/c']);
   });
 
   it('wait for one more where two requests were there together each time', () => {
     const together = [crash('x', 'a'), crash('x', 'a'), crash('x', 'a')];
     expect(blamed(...together)).toEqual([]);
-    expect(blamed(...together, crash('x'))).toEqual(['x']);
-    expect(blamed(...together, crash('x', 'a'))).toEqual(['a', 'x']);
+    expect(blamed(...together, crash('x'))).toEqual(['x/c']);
+    expect(blamed(...together, crash('x', 'a'))).toEqual(['a/c', 'x/c']);
   });
 
   it('are blamed on each of two requests that crash targets apart', () => {
     const x = [crash('x'), crash('x', 'a'), crash('x')];
     const y = [crash('y', 'a'), crash('y'), crash('y', 'a')];
-    expect(blamed(...x, ...y)).toEqual(['x', 'y']);
+    expect(blamed(...x, ...y)).toEqual(['x/c', 'y/c']);
   });
 
   it('are blamed alike in whatever order they are heard of', () => {
-    const anyCrash = fc
-      .uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e'), { minLength: 1 })
-      .map((names) => crash(...names));
+    const anyRequest = fc.constantFrom('a/1', 'a/2', 'b/1', 'b/2', 'c/1', 'd/1');
+    const anyCrash = fc.uniqueArray(anyRequest, { minLength: 1 }).map((names) => crash(...names));
     fc.assert(
       fc.property(
         fc
--- a/packages/steering/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/steering/src/quarantine/__tests__/quarantine.test.ts
@@ -1,20 +1,18 @@
 /** What follows from the reports of several instances. */
 import { describe, expect, it } from 'vitest';
 import type { CrashReport } from '@cardamomladder/types';
-import { requestDigest, targetId, targetRun } from '@cardamomladder/types';
+import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
+import { AnsweredLately } from '../answeredLately';
 import { Quarantine } from '../quarantine';
 
-const CRASHING = requestDigest('crashing');
-const report = (runs: number[], requests: string[] = [CRASHING]): CrashReport => ({
-  crashes: runs.map((run) => ({
-    run: targetRun(targetId(`t-${run}`), run),
-    requests: requests.map(requestDigest),
-  })),
-  answered: [],
+const asked = (name: string, caller = 'c') => ({
+  request: requestDigest(name),
+  caller: callerDigest(caller),
 });
-const answered = (...requests: string[]): CrashReport => ({
-  crashes: [],
-  answered: requests.map(requestDigest),
+const CRASHING = asked('crashing');
+const report = (runs: number[], requests = [CRASHING]): CrashReport => ({
+  crashes: runs.map((run) => ({ run: targetRun(targetId(`t-${run}`), run), requests })),
+  answered: [],
 });
 
 describe('the quarantine', () => {
@@ -22,18 +20,21 @@
     const quarantine = new Quarantine(() => 0);
     quarantine.file('north', 10, report([1, 2]));
     // The same crash, as another instance saw it that had other requests there.
-    quarantine.file('south', 11, report([2], ['other']));
+    quarantine.file('south', 11, report([2], [asked('other')]));
     quarantine.file('south-too', 12, report([2]));
     expect(quarantine.holds(CRASHING)).toBe(false);
     expect(quarantine.crashesUnder(CRASHING)).toBe(2);
     quarantine.file('east', 13, report([3]));
-    expect([...quarantine.held]).toEqual([CRASHING]);
+    expect(quarantine.holds(CRASHING)).toBe(true);
+    expect(quarantine.holds(asked('other'))).toBe(false);
+    // No sign yet that it harms when another caller asks it.
+    expect(quarantine.holds(asked('crashing', 'd'))).toBe(false);
   });
 
   it('takes an answered request for no cause of the crashes before, whatever is heard first', () => {
     const files: [string, number, CrashReport][] = [
       ['north', 10, report([1, 2])],
-      ['south', 11, answered(CRASHING)],
+      ['south', 11, { crashes: [], answered: [CRASHING] }],
       ['east', 12, report([3])],
     ];
     [files, [...files].reverse()].forEach((order) => {
@@ -44,6 +45,31 @@
     });
   });
 
+  it('leaves alone what many callers ask and targets answer all the while', () => {
+    // Symptom: the list that all kiosks show is refused for minutes. Sequence:
+    // three targets lose power at once, each was working on that list for some
+    // kiosk. Cause: only the crashes were counted, not the answers elsewhere.
+    const quarantine = new Quarantine(() => 0);
+    const popular = requestDigest('popular');
+    ['c', 'd', 'e'].forEach((caller, i) =>
+      quarantine.file(`north-${i}`, 10 + i, {
+        ...report([i], [asked('popular', caller)]),
+        answered: [{ request: popular }],
+      }),
+    );
+    expect(quarantine.holds(asked('popular', 'f'))).toBe(false);
+  });
+
+  it('holds what crashes targets for one caller while it is answered to others', () => {
+    const quarantine = new Quarantine(() => 0);
+    quarantine.file('north', 10, {
+      ...report([1, 2, 3]),
+      answered: [{ request: CRASHING.request }],
+    });
+    expect(quarantine.holds(CRASHING)).toBe(true);
+    expect(quarantine.holds(asked('crashing', 'd'))).toBe(false);
+  });
+
   it('forgets what a dropped report said, and is idle once all are dropped', () => {
     let now = 0;
     const quarantine = new Quarantine(() => now);
@@ -57,3 +83,15 @@
     expect(quarantine.idle).toBe(true);
   });
 });
+
+describe('what was answered lately', () => {
+  it('is remembered for some seconds', () => {
+    let now = 0;
+    const lately = new AnsweredLately(() => now);
+    lately.note(CRASHING.request);
+    now = 10_000;
+    expect(lately.has(CRASHING.request)).toBe(true);
+    now = 10_001;
+    expect(lately.has(CRASHING.request)).toBe(false);
+  });
+});
--- a/packages/steering/src/quarantine/quarantine.ts
+++ b/packages/steering/src/quarantine/quarantine.ts
@@ -11,9 +11,9 @@
  * learns them with its other facts.
  */
 import { Subject } from 'rxjs';
-import type { CrashReport, RequestDigest, TargetRun } from '@cardamomladder/types';
-import type { Attribution } from './attribution';
-import { attributeCrashes } from './attribution';
+import type { AskedRequest, CrashReport, TargetRun } from '@cardamomladder/types';
+import type { Attribution, Suspect } from './attribution';
+import { askedByAnyone, askedByOne, attributeCrashes } from './attribution';
 
 /** A report and the store's revision at which it stands. */
 interface FiledReport {
@@ -25,10 +25,16 @@
 
 const NOTHING: Attribution = { causes: new Set(), suspects: new Map() };
 
+/** Both ways to suspect a request. */
+const suspectsOf = (asked: AskedRequest): Suspect[] => [
+  askedByAnyone(asked.request),
+  askedByOne(asked),
+];
+
 /** Requests held, by the reports of crashes that are known. */
 export class Quarantine {
   /** Emits what is held when that changes. */
-  readonly changes = new Subject<ReadonlySet<RequestDigest>>();
+  readonly changes = new Subject<ReadonlySet<Suspect>>();
 
   private readonly reports = new Map<string, FiledReport>();
 
@@ -41,19 +47,15 @@
     return this.attribution.causes.size === 0 && this.attribution.suspects.size === 0;
   }
 
-  /** The requests held. */
-  get held(): ReadonlySet<RequestDigest> {
-    return this.attribution.causes;
-  }
-
   /** True when a request must not be sent to a target. */
-  holds(request: RequestDigest): boolean {
-    return this.attribution.causes.has(request);
+  holds(asked: AskedRequest): boolean {
+    return suspectsOf(asked).some((suspect) => this.attribution.causes.has(suspect));
   }
 
-  /** Crashes without a known cause at which a request was under way. */
-  crashesUnder(request: RequestDigest): number {
-    return this.attribution.suspects.get(request) ?? 0;
+  /** Crashes without a known cause that a request may have caused. */
+  crashesUnder(asked: AskedRequest): number {
+    const { suspects } = this.attribution;
+    return Math.max(...suspectsOf(asked).map((suspect) => suspects.get(suspect) ?? 0));
   }
 
   /** Files a report, or a later state of it. */
@@ -85,26 +87,30 @@
   private attribute(): Attribution {
     if (this.reports.size === 0) return NOTHING;
     const answeredAt = this.answeredAt();
-    const crashes = new Map<TargetRun, Set<RequestDigest>>();
+    const crashes = new Map<TargetRun, Set<Suspect>>();
     this.reports.forEach(({ revision, report }) =>
       report.crashes.forEach(({ run, requests }) => {
         const suspected = crashes.get(run) ?? new Set();
         requests
-          .filter((request) => (answeredAt.get(request) ?? 0) <= revision)
-          .forEach((request) => suspected.add(request));
+          .flatMap(suspectsOf)
+          .filter((suspect) => (answeredAt.get(suspect) ?? -1) < revision)
+          .forEach((suspect) => suspected.add(suspect));
         crashes.set(run, suspected);
       }),
     );
     return attributeCrashes([...crashes.values()]);
   }
 
-  /** The latest revision at which each request is known to have been answered by a target that lived on. */
-  private answeredAt(): Map<RequestDigest, number> {
-    const latest = new Map<RequestDigest, number>();
+  /** The latest revision at which each suspect is known to have been answered by a target that lived on. */
+  private answeredAt(): Map<Suspect, number> {
+    const latest = new Map<Suspect, number>();
+    const note = (suspect: Suspect, revision: number) =>
+      latest.set(suspect, Math.max(revision, latest.get(suspect) ?? -1));
     this.reports.forEach(({ revision, report }) =>
-      report.answered.forEach((request) =>
-        latest.set(request, Math.max(revision, latest.get(request) ?? 0)),
-      ),
+      report.answered.forEach(({ request, caller }) => {
+        note(askedByAnyone(request), revision);
+        if (caller !== undefined) note(askedByOne({ request, caller }), revision);
+      }),
     );
     return latest;
   }
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -30,8 +30,10 @@
 export type ObjectKey = Brand<string, 'ObjectKey'>;
 /** A caller's id for one attempt of a request, unique per attempt. */
 export type RequestId = Brand<string, 'RequestId'>;
-/** Stands for what a request asks and who asks it: the same for each attempt of one request. */
+/** Stands for what a request asks, whoever asks it: the same for each attempt. */
 export type RequestDigest = Brand<string, 'RequestDigest'>;
+/** Stands for who asks, as far as an instance can tell. */
+export type CallerDigest = Brand<string, 'CallerDigest'>;
 /** One run of a target, from its start to its end. */
 export type TargetRun = Brand<string, 'TargetRun'>;
 /** A `host:port` that can be connected to. */
@@ -74,6 +76,8 @@
 export const requestId = (value: string): RequestId => value as RequestId;
 /** Tags a plain string as a request digest; no check is made. */
 export const requestDigest = (value: string): RequestDigest => value as RequestDigest;
+/** Tags a plain string as a caller digest; no check is made. */
+export const callerDigest = (value: string): CallerDigest => value as CallerDigest;
 /** Names a target's run by its start, Unix ms; a target that does not tell it gets a new id with each run. */
 export const targetRun = (id: TargetId, startedAt: number | undefined): TargetRun =>
   `${id}@${startedAt ?? ''}` as TargetRun;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,5 +1,6 @@
 export type {
   Brand,
+  CallerDigest,
   ConfigurationVersion,
   DocumentRevision,
   EntryId,
@@ -19,6 +20,7 @@
   TargetRun,
 } from './ids';
 export {
+  callerDigest,
   configurationVersion,
   documentRevision,
   entryId,
@@ -37,7 +39,7 @@
   targetId,
   targetRun,
 } from './ids';
-export type { CrashReport, TargetCrash } from './crashes';
+export type { AnsweredRequest, AskedRequest, CrashReport, TargetCrash } from './crashes';
 export { splitAddress } from './address';
 export type { FailureKind, SchemaIssue } from './errors';
 export { Failure, describeIssues, failure, fieldPath } from './errors';
