--- a/packages/load/src/__tests__/crashingRequests.test.ts
+++ b/packages/load/src/__tests__/crashingRequests.test.ts
@@ -57,8 +57,8 @@
   });
 
   it('turns nobody away when targets crash by the dozen for another cause, or lose power', () => {
-    const massCrashes = [2000, 3500, 5000].map((atMs) => ({ atMs, share: 0.35 }));
-    const powerLosses = [{ atMs: 8000, share: 0.5 }];
+    const massCrashes = [2000, 3500, 5000, 6500].map((atMs) => ({ atMs, share: 0.35 }));
+    const powerLosses = [{ atMs: 9000, share: 0.5 }];
     const reports = play({ massCrashes, powerLosses, lengthMs: 12_000 });
     expect(most('turnedAway', reports)).toBe(0);
     expect(Math.min(...reports.map(({ crashes }) => crashes))).toBeGreaterThan(8);
