--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -20,13 +20,14 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
-import type { Subscription } from 'rxjs';
-import { BehaviorSubject, timer } from 'rxjs';
+import type { BehaviorSubject } from 'rxjs';
 import type { Beliefs } from './beliefs';
 import { ChangeLog } from './changeLog';
 import type { FactChanges, FactList, InstanceEntry, Store, StoreFailure } from './facts';
 import { HeldRemovals } from './heldRemovals';
 import { relaysOf } from './relay';
+import type { StoreStatus } from './storeReach';
+import { StoreReach } from './storeReach';
 
 /** How long one watch waits, ms: with the grace, below the shortest time allowed to obey a leaving target. */
 export const WATCH_WAIT_MS = 1000;
@@ -39,11 +40,6 @@
 const RETRY_MOST_MS = 1000;
 /** The longest while a peer reaches the store and passes its facts on, ms: only the way to the store is missing. */
 const RETRY_SERVED_MS = 2000;
-/** How often peers are asked while the store is out of reach, ms. */
-const PEER_ASK_MS = 300;
-/** Outages shorter than this lapse nothing, ms: the shortest registration outlives them. */
-const LAPSE_AFTER_MS = 900;
-
 /** How long a fresh instance waits for a peer's snapshot before it lists at the store as well, ms: twice the way to any region and the time to pack. After a power loss of the whole fleet the peer may be dark; waiting for it alone kept the strong instances from serving for 0.8 s. */
 const SNAPSHOT_ALONE_MS = 100;
 /** How long a question to a followed peer waits, ms: with its time to answer (300 ms) and one call to the store it stays below the shortest time allowed to obey a leaving target. */
@@ -51,9 +47,6 @@
 /** How long a followed peer that failed is left alone, ms: the entry of one that was killed is gone by then. */
 const RELAY_PAUSE_MS = 3000;
 
-/** Stands for "never" in answers to peers, ms: JSON has no infinity, and null would count as "just now". */
-const NEVER_HEARD_MS = Number.MAX_SAFE_INTEGER;
-
 /** What a peer answers: the changes after the revision asked for, or all facts where it does not keep these; and for how long it has reached the store, unset while it does not. */
 export interface PeerAnswer {
   storeReachedForMs?: number;
@@ -82,15 +75,6 @@
   waitMs: number,
 ) => ResultAsync<FollowedFacts, StoreFailure>;
 
-/** Whether the store is reached, since when, and why not. */
-export interface StoreStatus {
-  reached: boolean;
-  since: number;
-  reason: string;
-  /** The peer through which it is followed; undefined when it is watched directly. */
-  through?: InstanceEntry;
-}
-
 /** What following needs. */
 export interface FollowerOptions {
   store: Store;
@@ -119,23 +103,12 @@
   const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random } = options;
   const changeLog = new ChangeLog();
   const taken = new HeldRemovals(beliefs, now);
-  const status = new BehaviorSubject<StoreStatus>({
-    reached: false,
-    since: now(),
-    reason: 'not asked yet',
-  });
   let stopped = false;
   let listNext = true;
-  let peerReachedStore = false;
   /** Until when each followed peer that failed is left alone. */
   const avoidedUntil = new Map<string, number>();
   /** True until this instance's own entry was seen for the first time. */
   let joining = true;
-  /** When a followed peer failed, until the store has answered since: it may have been the store's failure. */
-  let suspectSince: number | undefined;
-  /** When the store itself last answered. */
-  let heardAt: number | undefined;
-  let asking: Subscription | undefined;
 
   const takeList = (list: FactList): void => {
     if (list.revision < beliefs.revision) return;
@@ -147,57 +120,35 @@
     taken.takeChanges(heard);
   };
 
-  const ask = async (): Promise<void> => {
+  const reach = new StoreReach({
+    now,
+    askPeers: ask,
+    mayHaveLapsed: () => {
+      if (beliefs.revision > 0) taken.hold();
+    },
+  });
+  async function ask(): Promise<void> {
     const after = beliefs.revision;
     const answers = await askPeers(after);
-    if (status.value.reached || stopped) return;
+    if (reach.status.value.reached || stopped) return;
     // Only the last answers count, and only from peers that reached the store
     // all the while: one that has not noticed the outage yet, or regained the
     // store a moment ago, knows no more of the lapsed entries than this one.
-    const away = now() - status.value.since;
-    peerReachedStore = answers.some(({ storeReachedForMs = 0 }) => storeReachedForMs > away);
+    reach.peerReachedStore = answers.some(
+      ({ storeReachedForMs = 0 }) => storeReachedForMs > reach.awayMs,
+    );
     answers.forEach(({ list, changes }) => {
       if (list) takeList(list);
       if (changes) takeChanges(after, changes);
     });
-  };
-  const lost = (failure: StoreFailure): void => {
-    if (!status.value.reached && asking) return;
-    peerReachedStore = false;
-    status.next({ reached: false, since: suspectSince ?? now(), reason: failure.message });
-    asking = timer(0, PEER_ASK_MS).subscribe(() => {
-      ask().catch(() => {
-        // askPeers reports and logs its own failures; a rejected promise here
-        // only means that this round brought nothing.
-      });
-    });
-  };
-  /** Notes which way the store is followed from now on. */
-  const followThrough = (through: InstanceEntry | undefined): void => {
-    if (!status.value.reached || status.value.through?.id === through?.id) return;
-    const reason = through ? 'followed through a peer' : 'watched directly';
-    status.next({ ...status.value, reason, through });
-  };
-  const regained = (): void => {
-    suspectSince = undefined;
-    if (status.value.reached) return;
-    asking?.unsubscribe();
-    asking = undefined;
-    const away = now() - status.value.since;
-    if (away > LAPSE_AFTER_MS && !peerReachedStore && beliefs.revision > 0) taken.hold();
-    status.next({ reached: true, since: now(), reason: 'answered' });
-  };
-  const storeAnswered = (): void => {
-    heardAt = now();
-    regained();
-  };
+  }
 
   const begin = (list: FactList): undefined => {
     takeList(list);
     listNext = false;
   };
   const beginFromPeer = (list: FactList): undefined => {
-    regained();
+    reach.regained();
     begin(list);
   };
   const stepList = async (): Promise<StoreFailure | undefined> => {
@@ -209,18 +160,17 @@
       const late = await asked;
       return late ? beginFromPeer(late) : listed.error;
     }
-    storeAnswered();
+    reach.answered();
     return begin(listed.value);
   };
   const stepWatch = async (): Promise<StoreFailure | undefined> => {
     const after = beliefs.revision;
     // While the store may be away, a call does not wait: whether it answers
     // is then known a second sooner.
-    const calm = suspectSince === undefined && status.value.reached;
-    const watched = await store.watch(after, calm ? WATCH_WAIT_MS : 0);
+    const watched = await store.watch(after, reach.calm ? WATCH_WAIT_MS : 0);
     if (watched.isErr()) return watched.error;
-    storeAnswered();
-    followThrough(undefined);
+    reach.answered();
+    reach.followThrough(undefined);
     takeChanges(after, watched.value);
     if (watched.value.changes.length > 0) await pause(GATHER_MS);
     return undefined;
@@ -229,9 +179,9 @@
   const stepRelay = async (relay: InstanceEntry): Promise<undefined> => {
     const after = beliefs.revision;
     const askedAt = now();
-    const heard = await watchPeer(relay, after, suspectSince === undefined ? RELAY_WAIT_MS : 0);
+    const heard = await watchPeer(relay, after, reach.suspected ? 0 : RELAY_WAIT_MS);
     if (heard.isErr()) {
-      suspectSince ??= now();
+      reach.suspect();
       avoidedUntil.set(relay.id, now() + RELAY_PAUSE_MS);
       return undefined;
     }
@@ -239,9 +189,9 @@
     // of; the outage counts from the first one's word until the store answers.
     // How long its answer was under way is not known: only what it heard after
     // the suspicion as of the question is sure to be newer.
-    const confirmed = heard.value.storeHeardMsAgo < askedAt - (suspectSince ?? -Infinity);
-    if (confirmed) regained();
-    followThrough(relay);
+    const confirmed = reach.heardSinceSuspicion(askedAt, heard.value.storeHeardMsAgo);
+    if (confirmed) reach.regained();
+    reach.followThrough(relay);
     takeChanges(after, heard.value);
     if (heard.value.changes.length > 0 || !confirmed) await pause(GATHER_FOLLOWED_MS);
     return undefined;
@@ -259,7 +209,7 @@
   const step = (): Promise<StoreFailure | undefined> => {
     if (listNext) return stepList();
     const [relay] = relays();
-    followThrough(relay);
+    reach.followThrough(relay);
     return relay ? stepRelay(relay) : stepWatch();
   };
 
@@ -273,24 +223,28 @@
         // A watch that was cut is asked again from the same revision, so it
         // misses nothing; the store says when its history is gone.
         if (failure.kind === 'history-gone') listNext = true;
-        else lost(failure);
+        else reach.lost(failure);
         await pause(retryMs * (0.5 + random()));
-        const mostMs = peerReachedStore ? RETRY_SERVED_MS : RETRY_MOST_MS;
+        const mostMs = reach.peerReachedStore ? RETRY_SERVED_MS : RETRY_MOST_MS;
         retryMs = Math.min(mostMs, Math.max(RETRY_FIRST_MS, retryMs * 2));
       }
     }
   };
   run().catch((error: Error) => {
-    status.next({ reached: false, since: now(), reason: `follower stopped: ${error.message}` });
+    reach.status.next({
+      reached: false,
+      since: now(),
+      reason: `follower stopped: ${error.message}`,
+    });
   });
 
   return {
-    status,
+    status: reach.status,
     changeLog,
-    storeHeardMsAgo: () => (heardAt === undefined ? NEVER_HEARD_MS : now() - heardAt),
+    storeHeardMsAgo: () => reach.heardMsAgo,
     stop: () => {
       stopped = true;
-      asking?.unsubscribe();
+      reach.stopAsking();
     },
   };
 };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -22,8 +22,8 @@
   PeerQuestion,
   SnapshotQuestion,
   PeerWatch,
-  StoreStatus,
 } from './follower';
+export type { StoreStatus } from './storeReach';
 export type { RegisteredInstance } from './relay';
 export { relayCount, relaysOf } from './relay';
 export type { PackedFailure } from './packedFacts';
--- /dev/null
+++ b/packages/gateway/src/targets/__fixtures__/send.ts
@@ -0,0 +1,35 @@
+/** Plain sends to a server of the test's own, on kept connections. */
+import type { Wire } from '../../wireNames';
+import type { Attempt } from '../attempt';
+import { sendAttempt } from '../attempt';
+import type { TargetConnections } from '../connections';
+
+const wire: Wire = {
+  headers: {
+    requestId: 'x-id',
+    waitMs: 'x-wait',
+    objectKey: 'x-key',
+    signature: 'x-sig',
+    onlyTarget: 'x-only',
+    notRun: 'x-not-run',
+  },
+  loadOf: () => undefined,
+  readinessPath: '/ready',
+  directoryQuestion: () => undefined,
+  directoryAnswer: () => '',
+};
+
+/** Sends a request to a port of this machine, on a kept connection if there is one. */
+export const beginSend = (port: number, connections: TargetConnections): Attempt =>
+  sendAttempt({
+    host: '127.0.0.1',
+    port,
+    method: 'GET',
+    path: '/',
+    headers: { 'x-id': 'r' },
+    body: undefined,
+    requestId: 'r',
+    timeoutMs: 2000,
+    connections,
+    wire,
+  });
--- a/packages/gateway/src/targets/__tests__/connections.test.ts
+++ b/packages/gateway/src/targets/__tests__/connections.test.ts
@@ -2,26 +2,11 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { Wire } from '../../wireNames';
+import { beginSend } from '../__fixtures__/send';
 import type { Attempt } from '../attempt';
-import { sendAttempt } from '../attempt';
 import { TargetConnections } from '../connections';
 import { IdleLimit } from '../idleLimit';
 
-const wire: Wire = {
-  headers: {
-    requestId: 'x-id',
-    waitMs: 'x-wait',
-    objectKey: 'x-key',
-    signature: 'x-sig',
-    onlyTarget: 'x-only',
-    notRun: 'x-not-run',
-  },
-  loadOf: () => undefined,
-  readinessPath: '/ready',
-  directoryQuestion: () => undefined,
-  directoryAnswer: () => '',
-};
 const ANSWER = 'HTTP/1.1 200 OK\r\nx-id: r\r\nx-sig: s\r\ncontent-length: 2\r\n\r\nok';
 
 let server: Server;
@@ -44,19 +29,7 @@
   });
 };
 /** Sends a request on a kept connection, if there is one. */
-const begin = (): Attempt =>
-  sendAttempt({
-    host: '127.0.0.1',
-    port,
-    method: 'GET',
-    path: '/',
-    headers: { 'x-id': 'r' },
-    body: undefined,
-    requestId: 'r',
-    timeoutMs: 2000,
-    connections,
-    wire,
-  });
+const begin = (): Attempt => beginSend(port, connections);
 const send = async (use: 'may-repeat' | 'at-most-once' = 'may-repeat'): Promise<string> => {
   connections.closeStale(use);
   const result = await begin().outcome;
--- a/packages/gateway/src/targets/__tests__/crashWitness.test.ts
+++ b/packages/gateway/src/targets/__tests__/crashWitness.test.ts
@@ -5,16 +5,14 @@
 import type { TargetEntry } from '@cardamomladder/fleet';
 import type { TargetCrash } from '@cardamomladder/types';
 import { callerDigest, requestDigest, targetId } from '@cardamomladder/types';
-import type { Wire } from '../../wireNames';
+import { beginSend } from '../__fixtures__/send';
 import type { Attempt } from '../attempt';
-import { sendAttempt } from '../attempt';
 import { TargetConnections } from '../connections';
 import { CrashWitness } from '../crashWitness';
 import { IdleLimit } from '../idleLimit';
 import { refusesConnections } from '../refusal';
 import type { ReachableTarget } from '../registry';
 
-const wire = { headers: { requestId: 'x-id' }, loadOf: () => undefined } as unknown as Wire;
 const asked = (name: string) => ({ request: requestDigest(name), caller: callerDigest('c') });
 const FIRST = asked('first');
 const SECOND = asked('second');
@@ -35,19 +33,7 @@
     entry: { id: targetId('t-1'), startedAt: 7 } as TargetEntry,
   }) as unknown as ReachableTarget;
 /** Sends a request that the target never answers. */
-const begin = (): Attempt =>
-  sendAttempt({
-    host: '127.0.0.1',
-    port,
-    method: 'GET',
-    path: '/',
-    headers: { 'x-id': 'r' },
-    body: undefined,
-    requestId: 'r',
-    timeoutMs: 2000,
-    connections,
-    wire,
-  });
+const begin = (): Attempt => beginSend(port, connections);
 const connected = async (count: number): Promise<void> => {
   while (sockets.length < count)
     await new Promise((resolve) => {
