--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -68,6 +68,15 @@
   return quarantine;
 };
 
+/** Peers by their own word, unless their entry has gone since. */
+const vouchedOf = (beliefs: Beliefs, now: () => number): VouchedPeers => {
+  const vouched = new VouchedPeers(now);
+  beliefs.changes.subscribe((change) => {
+    if (change.kind === 'instance-gone') vouched.gone(change.id);
+  });
+  return vouched;
+};
+
 /** Builds the shared parts. */
 export const buildParts = (settings: () => InstanceSettings, store: Store, wire: Wire): Parts => {
   const now = () => performance.now();
@@ -76,6 +85,7 @@
   const beliefs = new Beliefs();
   logBeliefs(beliefs, log);
   const fleet = new FleetMembers(beliefs, now);
+  const vouched = vouchedOf(beliefs, now);
   const quarantine = quarantineOf(beliefs, log, now);
   return {
     settings,
@@ -86,7 +96,7 @@
     phase,
     beliefs,
     self: entryOf(settings()),
-    vouched: new VouchedPeers(now),
+    vouched,
     fleet,
     quarantine,
     answeredLately: new AnsweredLately(now),
--- a/packages/gateway/src/peers/vouched.ts
+++ b/packages/gateway/src/peers/vouched.ts
@@ -16,6 +16,15 @@
     this.heard.set(entry.id, { entry, at: this.now() });
   }
 
+  /**
+   * Takes it that a peer's entry has gone: what it said before is older news. A
+   * peer that leaves was named for 1.5 s more without this; one that lives on
+   * without its entry is heard of again within a second.
+   */
+  gone(id: InstanceId): void {
+    this.heard.delete(id);
+  }
+
   /** The peers heard of lately. */
   list(): InstanceEntry[] {
     const since = this.now() - VOUCHED_MS;
