--- a/packages/load/src/player/crashes.ts
+++ b/packages/load/src/player/crashes.ts
@@ -3,12 +3,13 @@
  * what the instances' quarantines, each with what it has heard so far, let
  * through and turn away.
  */
-import { AnsweredLately, Quarantine } from '@cardamomladder/steering';
-import type { AskedRequest, CrashReport, TargetRun } from '@cardamomladder/types';
+import type { AskedRequest, TargetRun } from '@cardamomladder/types';
 import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
 import type { CrashPlayReport, PlayedCrashes } from './crashOptions';
 import { EventQueue } from './eventQueue';
 import { seeded } from './play';
+import type { PlayedInstance } from './playedFleet';
+import { PlayedFleet } from './playedFleet';
 
 const MS_PER_SECOND = 1000;
 /** Usual work of a request, ms, and how far it spreads. */
@@ -20,32 +21,16 @@
 const BACK_AFTER_MS = 3000;
 /** From a crash until the instances that had requests there know it for one, ms: the settling and a refused connection to any region. */
 const SEEN_AFTER_MS = { least: 12, most: 55 };
-/** How long an instance gathers what it sees before it reports, ms. */
-const GATHER_MS = 100;
-/** From then until the others have the report, ms: the store, a relay and a follower. */
-const HEARD_AFTER_MS = { least: 150, most: 600 };
 /** Targets that one attempt is sent to, and attempts of a caller. */
 const SENDS_MOST = 2;
 const ATTEMPTS_MOST = 2;
 /** Pause of a caller before its next attempt, ms, and of one that does not wait as told. */
 const RETRY_AFTER_MS = 150;
 const ABUSE_AFTER_MS = 10;
-/** Revisions above any of the store's. */
-const UNWRITTEN_FROM = 2 ** 52;
 /** From three crashes on the fleet may take this long to agree, ms. */
 const AGREED_WITHIN_MS = 3000;
 const CRASHES_ENOUGH = 3;
 
-interface Instance {
-  quarantine: Quarantine;
-  lately: AnsweredLately;
-  apart: boolean;
-  /** Reports that wait for the store. */
-  waiting: [string, CrashReport][];
-  /** What it saw since its last report, and the key of the next. */
-  gathered: { key: string; report: CrashReport } | undefined;
-}
-
 interface Target {
   run: TargetRun;
   up: boolean;
@@ -66,9 +51,7 @@
 
   private readonly random: () => number;
 
-  private readonly stored: [string, number, CrashReport][] = [];
-
-  private instances: Instance[];
+  private readonly fleet: PlayedFleet;
 
   private readonly targets: Target[];
 
@@ -84,7 +67,7 @@
 
   constructor(private readonly options: PlayedCrashes) {
     this.random = seeded(options.seed);
-    this.instances = Array.from({ length: options.instances }, () => this.startInstance());
+    this.fleet = new PlayedFleet(options.instances, this.events, this.random);
     this.targets = Array.from({ length: options.targets }, () => this.startTarget());
   }
 
@@ -100,8 +83,8 @@
       return request;
     });
     this.planLosses();
-    restartsAtMs.forEach((at) => this.events.after(at, () => this.restartInstances()));
-    if (apart) this.planCut(apart);
+    restartsAtMs.forEach((at) => this.events.after(at, () => this.fleet.restart()));
+    if (apart) this.fleet.planCut(apart);
     this.events.play(lengthMs);
     this.report.sentMore = Math.max(0, ...requests.map((request) => this.sentMoreOf(request)));
     return this.report;
@@ -115,39 +98,6 @@
     powerLosses.forEach(({ atMs, share }) => this.events.after(atMs, () => strike(share, false)));
   }
 
-  private planCut({ fromMs, toMs }: { fromMs: number; toMs: number }): void {
-    const half = this.instances.slice(0, Math.floor(this.instances.length / 2));
-    const setApart = (apart: boolean) => () =>
-      half.forEach((instance) => Object.assign(instance, { apart }));
-    this.events.after(fromMs, setApart(true));
-    this.events.after(toMs, () => {
-      setApart(false)();
-      half.forEach((instance) => this.catchUp(instance));
-    });
-  }
-
-  private catchUp(instance: Instance): void {
-    this.stored.forEach((filed) => instance.quarantine.file(...filed));
-    instance.waiting.splice(0).forEach(([key, report]) => this.store(key, report));
-  }
-
-  private startInstance(): Instance {
-    const now = () => this.events.now;
-    const quarantine = new Quarantine(now);
-    this.stored.forEach((filed) => quarantine.file(...filed));
-    return {
-      quarantine,
-      lately: new AnsweredLately(now),
-      apart: false,
-      waiting: [],
-      gathered: undefined,
-    };
-  }
-
-  private restartInstances(): void {
-    this.instances = this.instances.map(() => this.startInstance());
-  }
-
   private startTarget(): Target {
     this.named += 1;
     const run = targetRun(targetId(`t-${this.named}`), undefined);
@@ -193,7 +143,7 @@
 
   /** One attempt of a caller, at any instance. */
   private send(request: Request, attempt: number): void {
-    const instance = this.pick(this.instances);
+    const instance = this.pick(this.fleet.instances);
     if (this.holds(instance, request)) {
       if (!request.runs) this.report.turnedAway += 1;
       return;
@@ -201,11 +151,11 @@
     this.sendOn(instance, request, attempt, 1);
   }
 
-  private holds({ quarantine }: Instance, { asked }: Request): boolean {
+  private holds({ quarantine }: PlayedInstance, { asked }: Request): boolean {
     return this.options.quarantined !== false && quarantine.holds(asked);
   }
 
-  private sendOn(instance: Instance, request: Request, attempt: number, sends: number): void {
+  private sendOn(instance: PlayedInstance, request: Request, attempt: number, sends: number): void {
     const up = this.targets.filter((target) => target.up);
     if (up.length === 0) return;
     const target = this.pick(up);
@@ -238,16 +188,16 @@
     this.events.after(BACK_AFTER_MS, () => Object.assign(target, this.startTarget()));
   }
 
-  private answered(instance: Instance, { asked }: Request): void {
+  private answered(instance: PlayedInstance, { asked }: Request): void {
     this.report.served += 1;
     instance.lately.note(asked.request);
     if (instance.quarantine.crashesUnder(asked) >= CRASHES_ENOUGH - 1)
-      this.file(instance, { crashes: [], answered: [asked] });
+      this.fleet.file(instance, { crashes: [], answered: [asked] });
   }
 
   /** A request's connection closed as its target crashed. */
   private closed(
-    instance: Instance,
+    instance: PlayedInstance,
     request: Request,
     run: TargetRun,
     attempt: number,
@@ -259,7 +209,7 @@
     this.events.after(seenMs, () => {
       if (this.holds(instance, request)) return;
       const known = lately.has(asked.request) ? [{ request: asked.request }] : [];
-      this.file(instance, { crashes: [{ run, requests: [asked] }], answered: known });
+      this.fleet.file(instance, { crashes: [{ run, requests: [asked] }], answered: known });
     });
     const repeatMs = quarantine.crashesUnder(asked) > 0 ? seenMs : 0;
     this.events.after(repeatMs, () => {
@@ -276,41 +226,6 @@
     this.events.after(pauseMs, () => this.send(request, attempt + 1));
   }
 
-  /** Files a report at its instance at once, and in the store when that is reached. */
-  private file(instance: Instance, report: CrashReport): void {
-    if (!instance.gathered) this.events.after(GATHER_MS, () => this.closeGathered(instance));
-    const { key, report: before } = instance.gathered ?? this.newReport();
-    const together = {
-      crashes: [...before.crashes, ...report.crashes],
-      answered: [...before.answered, ...report.answered],
-    };
-    Object.assign(instance, { gathered: { key, report: together } });
-    instance.quarantine.file(key, UNWRITTEN_FROM + this.named, together);
-  }
-
-  private newReport(): NonNullable<Instance['gathered']> {
-    this.named += 1;
-    return { key: `report-${this.named}`, report: { crashes: [], answered: [] } };
-  }
-
-  private closeGathered(instance: Instance): void {
-    if (!instance.gathered) return;
-    const { key, report } = instance.gathered;
-    Object.assign(instance, { gathered: undefined });
-    if (instance.apart) instance.waiting.push([key, report]);
-    else this.store(key, report);
-  }
-
-  private store(key: string, report: CrashReport): void {
-    const filed: [string, number, CrashReport] = [key, this.stored.length + 1, report];
-    this.stored.push(filed);
-    this.instances.forEach((instance) =>
-      this.events.after(this.between(HEARD_AFTER_MS), () => {
-        if (!instance.apart) instance.quarantine.file(...filed);
-      }),
-    );
-  }
-
   private sentMoreOf({ runs = [], crashTimes }: Request): number {
     const third = crashTimes[CRASHES_ENOUGH - 1] ?? Infinity;
     return runs.filter(({ at, inTouch }) => inTouch && at > third + AGREED_WITHIN_MS).length;
