A crash is seen also where a busy instance reads the closes late

Cause: one look 10 ms after the first close decided; an instance that works on other things then finds connections open whose closes it has not read, and a late timer fires before what has arrived is read. The crash was not reported by that instance. Found in reading; the new test (second close 25 ms after the first) fails on the code before.

Change: what has arrived is read first, and a second look follows after 40 ms.

--- a/packages/gateway/src/targets/__tests__/crashWitness.test.ts
+++ b/packages/gateway/src/targets/__tests__/crashWitness.test.ts
@@ -90,6 +90,22 @@
     ]);
   });
 
+  it('shows a crash also when the others are read as closed a little later', async () => {
+    // Symptom: a crash is not reported, though each request there failed.
+    // Sequence: a busy instance reads the first close, then works on other
+    // things for some ms; the look finds the target's other connections open.
+    // Cause: one look, at a fixed time, decided.
+    const target = targetNow();
+    const sends = [begin(), begin()];
+    await connected(2);
+    server.close();
+    sockets[0].resetAndDestroy();
+    setTimeout(() => sockets[1].resetAndDestroy(), 25);
+    await Promise.race(sends.map((send) => send.outcome));
+    expect(await witness.closedUnder(target, FIRST)).toBe(true);
+    expect(crashes).toEqual([{ run: 't-1@7', requests: [FIRST] }]);
+  });
+
   it('shows none while another connection of the target is open, and costs no look', async () => {
     // Symptom: requests are blamed for crashes that never were. Sequence: a
     // target loses the answer to one request by a reset and goes on serving
--- a/packages/gateway/src/targets/crashWitness.ts
+++ b/packages/gateway/src/targets/crashWitness.ts
@@ -9,8 +9,8 @@
 import { targetRun } from '@cardamomladder/types';
 import type { ReachableTarget } from './registry';
 
-/** How long to wait for a target's other connections to close too, ms: those of one process close together, their closes are read one after the other. */
-const SETTLE_MS = 10;
+/** How long to wait for a target's other connections to close too, ms: those of one process close together, but a busy instance reads their closes with pauses between. */
+const SETTLE_MS = [10, 40];
 
 /** Whether an address refuses connections. */
 export type RefusalCheck = (host: string, port: number) => Promise<boolean>;
@@ -22,11 +22,21 @@
   settled: boolean;
 }
 
-const settle = (): Promise<void> =>
+/** Waits, and then until what has arrived meanwhile is read: a timer that is late fires before that. */
+const settle = (ms: number): Promise<void> =>
   new Promise((resolve) => {
-    setTimeout(resolve, SETTLE_MS);
+    setTimeout(() => setImmediate(resolve), ms);
   });
 
+/** True once no connection to the target is left. */
+const allClosed = async (target: ReachableTarget): Promise<boolean> => {
+  for (const ms of SETTLE_MS) {
+    await settle(ms);
+    if (!target.connections().anyOpen) return true;
+  }
+  return false;
+};
+
 /** Looks into closed connections, once per target however many requests it closed under. */
 export class CrashWitness {
   private readonly looks = new WeakMap<ReachableTarget, Look>();
@@ -54,8 +64,7 @@
   }
 
   private async look(target: ReachableTarget): Promise<boolean> {
-    await settle();
-    const crashed = !target.connections().anyOpen && (await this.refuses(target.host, target.port));
+    const crashed = (await allClosed(target)) && (await this.refuses(target.host, target.port));
     const look = this.looks.get(target);
     if (!crashed) this.looks.delete(target);
     if (crashed && look) {
