--- /dev/null
+++ b/packages/fleet/src/__fixtures__/follower.ts
@@ -0,0 +1,25 @@
+/** A follower in tests: nothing but what the test is about. */
+import { errAsync } from 'neverthrow';
+import type { Follower, FollowerOptions, StoreFailure } from '..';
+import { Beliefs, follow } from '..';
+import { instanceAt } from './instances';
+
+/** How the store and peers fail in tests. */
+export const DOWN: StoreFailure = { kind: 'unavailable', message: 'down' };
+
+/** Follows `store` without peers, unless the test names some, as the instance i-1. */
+export const followAlone = ({
+  store,
+  ...rest
+}: Pick<FollowerOptions, 'store'> & Partial<FollowerOptions>): Follower =>
+  follow({
+    store,
+    beliefs: new Beliefs(),
+    self: instanceAt('i-1', 'north-a', 'north'),
+    askPeers: async () => [],
+    askSnapshot: async () => undefined,
+    watchPeer: () => errAsync(DOWN),
+    now: () => performance.now(),
+    random: () => 0.5,
+    ...rest,
+  });
--- a/packages/fleet/src/__fixtures__/instances.ts
+++ b/packages/fleet/src/__fixtures__/instances.ts
@@ -37,3 +37,11 @@
   region: regionName(region),
   capacity: { cores: 1, linkMbps: 1000 },
 });
+
+/** Records of instances i-0, i-1 and so on, in one failure domain, registered in this order from revision 1 on. */
+export const registeredInstances = (count: number): FactRecord[] =>
+  Array.from({ length: count }, (_, i) => ({
+    key: `instances/i-${i}`,
+    revision: i + 1,
+    fact: { kind: 'instance', instance: instanceAt(`i-${i}`, 'north-a', 'north') },
+  }));
--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -3,10 +3,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import type { FactChanges, PeerAnswer, Store, StoreFailure } from '..';
-import { Beliefs, follow } from '..';
-import { instanceAt, targetRecord } from '../__fixtures__/instances';
+import { Beliefs } from '..';
+import { DOWN, followAlone } from '../__fixtures__/follower';
+import { instanceAt, registeredInstances, targetRecord } from '../__fixtures__/instances';
 
-const DOWN: StoreFailure = { kind: 'unavailable', message: 'down' };
 /** Longer than entries outlive an outage, ms. */
 const OUTAGE_MS = 1300;
 
@@ -56,15 +56,10 @@
   const beliefs = new Beliefs();
   const { store, setAway, back } = storeWithOutage(history);
   let awaySince = 0;
-  const follower = follow({
+  const follower = followAlone({
     store,
     beliefs,
-    self: instanceAt('i-1', 'north-a', 'north'),
     askPeers: async () => peers(performance.now() - awaySince),
-    askSnapshot: async () => undefined,
-    watchPeer: () => errAsync(DOWN),
-    now: () => performance.now(),
-    random: () => 0.5,
   });
   await sleep(50);
   awaySince = performance.now();
@@ -82,11 +77,7 @@
 
 /** A store that knows a relay and this instance, and falls silent. */
 const silentStore = () => {
-  const instances = ['i-0', 'i-1'].map((id, i) => ({
-    key: `instances/${id}`,
-    revision: i + 1,
-    fact: { kind: 'instance' as const, instance: instanceAt(id, 'north-a', 'north') },
-  }));
+  const instances = registeredInstances(2);
   let silent = false;
   const after = (ms: number) => ResultAsync.fromSafePromise(sleep(ms));
   const store = {
@@ -110,11 +101,7 @@
 
 /** How long after the store's loss a follower counts it, ms, when its second relay notices a second late. */
 const lossCountedAfter = async (travelMs: number): Promise<number> => {
-  const instances = [...Array(20).keys()].map((i) => ({
-    key: `instances/i-${i}`,
-    revision: i + 1,
-    fact: { kind: 'instance' as const, instance: instanceAt(`i-${i}`, 'north-a', 'north') },
-  }));
+  const instances = registeredInstances(20);
   let away = false;
   const store = {
     list: () => okAsync({ records: instances, revision: 20 }),
@@ -126,12 +113,9 @@
   } as unknown as Store;
   let firstAsked: string | undefined;
   let lostAt = Infinity;
-  const follower = follow({
+  const follower = followAlone({
     store,
-    beliefs: new Beliefs(),
     self: instanceAt('i-19', 'north-a', 'north'),
-    askPeers: async () => [],
-    askSnapshot: async () => undefined,
     watchPeer: (peer) =>
       ResultAsync.fromSafePromise(sleep(20)).andThen(() => {
         firstAsked ??= peer.id;
@@ -141,8 +125,6 @@
         const answer = { changes: [], revision: 20, storeHeardMsAgo: heardBefore };
         return ResultAsync.fromSafePromise(sleep(travelMs, answer));
       }),
-    now: () => performance.now(),
-    random: () => 0.5,
   });
   await sleep(200);
   away = true;
@@ -158,11 +140,7 @@
     // stopped. Sequence: the next one in line begins to watch; its followers
     // ask it and hear that it does not. Cause: it counted as watching only
     // when its first watch had ended, which waits for a change.
-    const instances = ['i-0', 'i-1'].map((id, i) => ({
-      key: `instances/${id}`,
-      revision: i + 1,
-      fact: { kind: 'instance' as const, instance: instanceAt(id, 'north-a', 'north') },
-    }));
+    const instances = registeredInstances(2);
     const gone = { key: 'instances/i-0', revision: 3, removed: true as const };
     const store = {
       list: () => okAsync({ records: instances, revision: 2 }),
@@ -170,15 +148,9 @@
         ResultAsync.fromSafePromise(sleep(waitMs)).map(() => ({ changes: [], revision: 3 })),
       instanceKey: (id: string) => `instances/${id}`,
     } as unknown as Store;
-    const follower = follow({
+    const follower = followAlone({
       store,
-      beliefs: new Beliefs(),
-      self: instanceAt('i-1', 'north-a', 'north'),
-      askPeers: async () => [],
-      askSnapshot: async () => undefined,
       watchPeer: () => okAsync({ changes: [gone], revision: 3, storeHeardMsAgo: 0 }),
-      now: () => performance.now(),
-      random: () => 0.5,
     });
     await sleep(600);
     follower.stop();
@@ -209,18 +181,12 @@
     // Cause: the time since the relay's loss was not counted.
     const { store, fallSilent } = silentStore();
     let relayLost = false;
-    const follower = follow({
+    const follower = followAlone({
       store,
-      beliefs: new Beliefs(),
-      self: instanceAt('i-1', 'north-a', 'north'),
-      askPeers: async () => [],
-      askSnapshot: async () => undefined,
       watchPeer: () =>
         ResultAsync.fromSafePromise(sleep(20)).andThen(() =>
           relayLost ? errAsync(DOWN) : okAsync({ changes: [], revision: 2, storeHeardMsAgo: 0 }),
         ),
-      now: () => performance.now(),
-      random: () => 0.5,
     });
     await sleep(100);
     expect(follower.status.value.through?.id).toBe('i-0');
--- a/packages/fleet/src/__tests__/snapshot.test.ts
+++ b/packages/fleet/src/__tests__/snapshot.test.ts
@@ -3,8 +3,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import type { FactList, Store, StoreFailure } from '..';
-import { Beliefs, follow, packFacts, unpackFacts } from '..';
-import { instanceAt, targetRecord } from '../__fixtures__/instances';
+import { Beliefs, packFacts, unpackFacts } from '..';
+import { followAlone } from '../__fixtures__/follower';
+import { targetRecord } from '../__fixtures__/instances';
 
 const LIST: FactList = { records: [targetRecord('t-1', 3), targetRecord('t-2', 7)], revision: 9 };
 
@@ -33,15 +34,10 @@
     instanceKey: (id: string) => `instances/${id}`,
   } as unknown as Store;
   const beliefs = new Beliefs();
-  const follower = follow({
+  const follower = followAlone({
     store,
     beliefs,
-    self: instanceAt('i-1', 'north-a', 'north'),
-    askPeers: async () => [],
     askSnapshot: async () => snapshot,
-    watchPeer: () => errAsync({ kind: 'unavailable', message: 'no peer' }),
-    now: () => performance.now(),
-    random: () => 0.5,
   });
   await sleep(followedForMs);
   const heardMsAgo = follower.storeHeardMsAgo();
