--- a/packages/gateway/src/requests/__tests__/quarantined.test.ts
+++ b/packages/gateway/src/requests/__tests__/crashEvidence.test.ts
@@ -5,7 +5,7 @@
 import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
 import type { AttemptOutcome } from '../../targets/attempt';
 import type { ReachableTarget } from '../../targets/registry';
-import { answeredOrCrashed } from '../quarantined';
+import { takeEvidence } from '../crashEvidence';
 import type { Serving } from '../serving';
 
 const asked: AskedRequest = { request: requestDigest('r'), caller: callerDigest('c') };
@@ -22,7 +22,7 @@
   });
   const crashReports = { answered: (each: AskedRequest) => told.push(each) };
   const ctx = { quarantine, answeredLately, crashReports };
-  await answeredOrCrashed({ ctx, asked } as unknown as Serving, {} as ReachableTarget, outcome);
+  await takeEvidence({ ctx, asked } as unknown as Serving, {} as ReachableTarget, outcome);
   return { told, lately: answeredLately.has(asked.request) };
 };
 
--- a/packages/gateway/src/requests/quarantined.ts
+++ b/packages/gateway/src/requests/crashEvidence.ts
@@ -29,7 +29,7 @@
  * until it is known whether this was a crash too, or it would end one more
  * target before the crash counts.
  */
-export const answeredOrCrashed = async (
+export const takeEvidence = async (
   serving: Serving,
   target: ReachableTarget,
   outcome: AttemptOutcome,
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -12,7 +12,7 @@
 import { answerOwn, relay } from './answers';
 import type { CallerRequest } from './callerRequest';
 import { LEAST_SEND_MS, silentAfter, worthRepeating } from './repeatPolicy';
-import { answeredOrCrashed, TRY_AGAIN_MS } from './quarantined';
+import { takeEvidence, TRY_AGAIN_MS } from './crashEvidence';
 import type { Send } from './send';
 import { startSend } from './send';
 import type { ServeContext, ServeOutcome } from './serving';
@@ -162,7 +162,7 @@
     const afterSilence = await nextAfterSilence(serving, send, target);
     if (afterSilence) send.cancel();
     const outcome = await send.outcome;
-    await answeredOrCrashed(serving, target, outcome);
+    await takeEvidence(serving, target, outcome);
     if (serving.ended) return serving.ended;
     mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
     if (outcome.kind === 'answer') failure = outcome;
