Ask peers by their own word too, when the store turns an instance away

Cause: the questions that replace the store went only to peers whose entry had been read in the store. An instance that the store turns away within its pause after changes (150 ms) has not read the entry of a neighbour that just started and follows it; it knows the neighbour by its word alone, names it in its directory, and asks nobody. It keeps the old configuration (404) until the store answers again.

Change: one function gives the instances known by entry or word; the directory and the questions to peers both use it.

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -6,6 +6,7 @@
 import type { Parts } from './parts';
 import { peerRouter } from './peers/router';
 import { createPeerServer } from './peers/server';
+import { knownInstances } from './peers/vouched';
 import { repeatBudgets } from './requests/repeatBudgets';
 import type { CallerConnections } from './server/callerConnections';
 import { createCallerServer } from './server/callerServer';
@@ -95,8 +96,7 @@
 const lookUpIn =
   ({ beliefs, vouched, ready, self }: Parts) =>
   (question: DirectoryQuestion): SocketAddress[] => {
-    const known = new Map(beliefs.instances);
-    vouched.list().forEach((entry) => known.set(entry.id, entry));
+    const known = knownInstances(beliefs, vouched);
     if (ready()) known.set(self.id, self);
     else known.delete(self.id);
     return nearest([...known.values()], question);
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -15,7 +15,7 @@
 import type { Phase } from './lifecycle/phase';
 import { startPhase } from './lifecycle/phase';
 import { askPeers, askSnapshot } from './peers/ask';
-import { VouchedPeers } from './peers/vouched';
+import { VouchedPeers, knownInstances } from './peers/vouched';
 import { watchPeer } from './peers/watch';
 import type { Wire } from './wireNames';
 
@@ -115,10 +115,11 @@
 
 /** Starts following the store. */
 export const startFollowing = (parts: Parts): Follower => {
-  const { store, beliefs, self, log, metrics, now, ready } = parts;
+  const { store, beliefs, vouched, self, log, metrics, now, ready } = parts;
   const { seeds } = parts.settings();
   const vouchFor = () => (ready() ? self : null);
-  const asking = { beliefs, self, seeds, vouchFor, log };
+  const peers = () => [...knownInstances(beliefs, vouched).values()];
+  const asking = { peers, self, seeds, vouchFor, log };
   const follower = follow({
     store,
     beliefs,
--- a/packages/gateway/src/peers/ask.ts
+++ b/packages/gateway/src/peers/ask.ts
@@ -4,7 +4,6 @@
  * A fresh instance asks one that its settings name.
  */
 import type {
-  Beliefs,
   InstanceEntry,
   PeerAnswer,
   PeerQuestion,
@@ -23,7 +22,8 @@
 
 /** What asking needs of the instance. */
 export interface AskOptions {
-  beliefs: Beliefs;
+  /** The instances known by their entry or their own word: one that started beside a peer while the store turned it away has read no entry of it. */
+  peers: () => InstanceEntry[];
   self: InstanceEntry;
   /** Peer addresses from the settings, for an instance that knows no peer yet. */
   seeds: readonly string[];
@@ -76,8 +76,7 @@
 export const askPeers = (options: AskOptions): PeerQuestion => {
   let round = 0;
   return async (revision) => {
-    const peers = [...options.beliefs.instances.values()];
-    const addresses = peersToAsk(peers, options.self, options.seeds, round);
+    const addresses = peersToAsk(options.peers(), options.self, options.seeds, round);
     round += 1;
     const answers = await Promise.all(
       addresses.map((address) => askOne(options, address, revision, PEER_TIMEOUT_MS)),
--- a/packages/gateway/src/peers/vouched.ts
+++ b/packages/gateway/src/peers/vouched.ts
@@ -1,5 +1,5 @@
 /** Peers heard of directly, whose entry in the store may be gone. */
-import type { InstanceEntry } from '@cardamomladder/fleet';
+import type { Beliefs, InstanceEntry } from '@cardamomladder/fleet';
 import type { InstanceId } from '@cardamomladder/types';
 
 /** How long one word from a peer counts, ms: four of its questions. */
@@ -34,3 +34,13 @@
     return [...this.heard.values()].map(({ entry }) => entry);
   }
 }
+
+/** Instances by their entry in the store or their own word; the word is the newer where there are both. */
+export const knownInstances = (
+  beliefs: Pick<Beliefs, 'instances'>,
+  vouched: VouchedPeers,
+): Map<InstanceId, InstanceEntry> => {
+  const known = new Map(beliefs.instances);
+  vouched.list().forEach((entry) => known.set(entry.id, entry));
+  return known;
+};
