Reports of crashes pass from peer to peer while the store is away

Cause: reports of crashes reached other instances through the store alone. While it is away for all, each instance learned of a crashing request by three targets of its own.

Ruled out: sending each report to all instances (38,000 calls when 195 instances see a mass crash); putting reports into the questions for facts, whose answers are all that most askers need and which travel in a path.

Change: an answer to a question for facts says up to where the asked instance has reports that the store may not have; where either lacks some, one further call exchanges them both ways, 20 at a time. A peer that reaches the store writes what it hears; one that doesn't, passes it on. Reports end with the age they have on the way, so an outage without end hands none round for ever.

crashReports.test.ts asked unwritten(), which served that test only; it now asks what a peer would, and expects the same ids.

--- a/packages/fleet/src/__tests__/crashReports.test.ts
+++ b/packages/fleet/src/__tests__/crashReports.test.ts
@@ -43,6 +43,7 @@
     },
     book: {
       file: (key, _revision, report) => filed.set(key, report),
+      knows: (key) => filed.has(key),
       drop: (key) => filed.delete(key),
       olderThan: (ms) => (ms === REPORT_KEPT_MS ? old : []),
     },
@@ -51,7 +52,9 @@
       ids += 1;
       return `report-${ids}`;
     },
+    logName: 'process-1',
     random: () => 0.5,
+    now: () => Date.now(),
     log: () => {},
   });
 });
@@ -130,11 +133,11 @@
     reports.crashed(crashOf(1, 'x'));
     await vi.advanceTimersByTimeAsync(20_000);
     expect(written).toEqual([]);
-    expect(reports.unwritten().map(({ id }) => id)).toEqual(['report-1']);
+    expect(reports.after(undefined).reports.map(({ id }) => id)).toEqual(['report-1']);
     away = false;
     await vi.advanceTimersByTimeAsync(3100);
     expect(written.map(([id]) => id)).toEqual(['report-1']);
-    expect(reports.unwritten()).toEqual([]);
+    expect(reports.after(undefined).reports).toEqual([]);
   });
 
   it('is removed when it is old, here as well', async () => {
--- a/packages/fleet/src/crashReports.ts
+++ b/packages/fleet/src/crashReports.ts
@@ -7,16 +7,14 @@
  * within a fraction of a second. A failed write is repeated until it is done;
  * a report has one key, so one that was written without an answer is only
  * written again. Reports have no lease, as one would end with a power loss or
- * an outage; they are removed when they are old.
+ * an outage; they are removed when they are old. Until the store has a report,
+ * peers that ask get it from here.
  */
-import type {
-  AnsweredRequest,
-  AskedRequest,
-  CrashReport,
-  TargetCrash,
-  TargetRun,
-} from '@cardamomladder/types';
+import type { AnsweredRequest, CrashReport, TargetCrash } from '@cardamomladder/types';
 import type { Store, StoreFailure } from './facts';
+import { GatheredReport } from './gatheredReport';
+import type { PassedReport, PassedReports, ReportMark } from './passedReports';
+import { PassedReportLog } from './passedReports';
 
 /** How long to gather before a report is written, ms: all connections of a target that crashed close within this; with it nine instances all knew of a crash 0.13 s later, three under test 0.26 s. */
 const GATHER_MS = 100;
@@ -25,8 +23,6 @@
 /** Pause before the first and the longest repeat of a failed write, ms. */
 const RETRY_FIRST_MS = 100;
 const RETRY_MOST_MS = 2000;
-/** Requests named per crash, so that a target with a long queue makes no huge report: targets in use take a dozen or two at once. */
-const REQUESTS_MOST = 100;
 /** Reports that wait while the store is away; the oldest are given up then. */
 const WAITING_MOST = 200;
 /** How long a report counts, ms: a request that crashes targets may then do so again for three of them. */
@@ -45,6 +41,7 @@
 /** Where reports take effect. */
 export interface ReportBook {
   file: (key: string, revision: number, report: CrashReport) => void;
+  knows: (key: string) => boolean;
   drop: (key: string) => void;
   olderThan: (ms: number) => string[];
 }
@@ -56,8 +53,12 @@
   fleetSize: () => number;
   /** A name that no other report has. */
   nextId: () => string;
+  /** Tells this process from others, also from earlier ones of this instance. */
+  logName: string;
   random: () => number;
-  log: (event: 'filed' | 'failed' | 'given up' | 'removed', detail: string) => void;
+  /** Steady clock, ms. */
+  now: () => number;
+  log: (event: 'filed' | 'heard' | 'failed' | 'given up' | 'removed', detail: string) => void;
 }
 
 /** A report with its id. */
@@ -66,37 +67,9 @@
   report: CrashReport;
 }
 
-/** What was seen since the last report. */
-class Gathered {
-  private readonly crashes = new Map<TargetRun, AskedRequest[]>();
-
-  private readonly answered: AnsweredRequest[] = [];
-
-  constructor(
-    readonly id: string,
-    readonly revision: number,
-  ) {}
-
-  addCrash({ run, requests }: TargetCrash): void {
-    const known = this.crashes.get(run) ?? [];
-    this.crashes.set(run, [...known, ...requests].slice(0, REQUESTS_MOST));
-  }
-
-  addAnswered(request: AnsweredRequest): void {
-    this.answered.push(request);
-  }
-
-  report(): CrashReport {
-    return {
-      crashes: [...this.crashes].map(([run, requests]) => ({ run, requests })),
-      answered: [...this.answered],
-    };
-  }
-}
-
 /** The reports of one instance. */
 export class CrashReports {
-  private gathered: Gathered | undefined;
+  private gathered: GatheredReport | undefined;
 
   private readonly waiting: WaitingReport[] = [];
 
@@ -108,7 +81,10 @@
 
   private readonly sweep: NodeJS.Timeout;
 
+  private readonly passed: PassedReportLog;
+
   constructor(private readonly options: CrashReportsOptions) {
+    this.passed = new PassedReportLog(options.logName, REPORT_KEPT_MS, options.now);
     this.sweep = setInterval(() => this.removeOld(), SWEEP_EVERY_MS * (1 + options.random()));
     this.sweep.unref();
   }
@@ -123,9 +99,34 @@
     this.gather((gathered) => gathered.addAnswered(request));
   }
 
-  /** Reports that the store does not have yet. */
-  unwritten(): readonly { id: string; report: CrashReport }[] {
-    return this.waiting;
+  /** Up to where this instance has reports for its peers. */
+  get mark(): ReportMark {
+    return this.passed.mark;
+  }
+
+  /** Reports that the store may not have yet, for a peer that knows them up to `mark`. */
+  after(mark: ReportMark | undefined): PassedReports {
+    return this.passed.after(mark);
+  }
+
+  /** Takes reports from a peer, which may be unable to write them; one that reaches the store does so in its place. */
+  hear(reports: readonly PassedReport[], storeReached: boolean): void {
+    const { store, book, log } = this.options;
+    const news = reports.filter(({ id }) => !book.knows(store.reportKey(id)));
+    if (news.length === 0) return;
+    news.forEach((heard) => {
+      this.put(heard.id, heard.report);
+      this.passed.add(store.reportKey(heard.id), heard);
+    });
+    log('heard', news.map(({ id }) => id).join(' '));
+    if (!storeReached) return;
+    this.waiting.push(...news.map(({ id, report }) => ({ id, report })));
+    if (!this.writing) this.startWriting();
+  }
+
+  /** Takes it that the store has a report. */
+  stored(key: string): void {
+    this.passed.drop(key);
   }
 
   /** Ends the writing; what waits is lost. */
@@ -134,16 +135,21 @@
     clearInterval(this.sweep);
   }
 
-  private gather(add: (gathered: Gathered) => void): void {
-    const { nextId, store, book } = this.options;
+  private gather(add: (gathered: GatheredReport) => void): void {
     const first = this.gathered === undefined;
-    this.filed += first ? 1 : 0;
-    this.gathered ??= new Gathered(nextId(), UNWRITTEN_FROM + this.filed);
+    this.gathered ??= new GatheredReport(this.options.nextId());
     add(this.gathered);
-    book.file(store.reportKey(this.gathered.id), this.gathered.revision, this.gathered.report());
+    this.put(this.gathered.id, this.gathered.report());
     if (first && !this.writing) this.startWriting();
   }
 
+  /** Puts a report into force before the store has it, as the latest so far. */
+  private put(id: string, report: CrashReport): void {
+    const { store, book } = this.options;
+    this.filed += 1;
+    book.file(store.reportKey(id), UNWRITTEN_FROM + this.filed, report);
+  }
+
   private startWriting(): void {
     this.writing = true;
     this.write().catch((error: Error) => {
@@ -169,12 +175,19 @@
   private closeGathered(): boolean {
     const { gathered, waiting } = this;
     this.gathered = undefined;
-    if (gathered) waiting.push({ id: gathered.id, report: gathered.report() });
+    if (gathered) this.queue(gathered);
     if (waiting.length > WAITING_MOST)
       this.options.log('given up', `report ${waiting.shift()?.id}: ${WAITING_MOST} wait already`);
     return waiting.length > 0;
   }
 
+  private queue(gathered: GatheredReport): void {
+    const { id } = gathered;
+    const report = gathered.report();
+    this.waiting.push({ id, report });
+    this.passed.add(this.options.store.reportKey(id), { id, report, ageMs: 0 });
+  }
+
   private async writeNext(): Promise<boolean> {
     const { store, log } = this.options;
     const [{ id, report }] = this.waiting;
@@ -185,6 +198,7 @@
     }
     const at = this.waiting.findIndex((each) => each.id === id);
     if (at >= 0) this.waiting.splice(at, 1);
+    this.stored(store.reportKey(id));
     log('filed', `${id}: ${report.crashes.length} crashes, ${report.answered.length} answered`);
     return true;
   }
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -120,7 +120,7 @@
   follower: Follower,
   linesDropped: () => number,
 ): Promise<Listeners> => {
-  const { wire, beliefs, vouched, ready, now } = parts;
+  const { wire, beliefs, vouched, crashReports, ready, now } = parts;
   const { listen: at, instance, metricsPort, bounds } = parts.settings();
   const registry = registryOf(parts);
   const { server: callers, connections } = callersOf(parts, registry);
@@ -130,7 +130,7 @@
     [callers, at.callers],
     [createDirectoryServer(wire, lookUpIn(parts), directoryTtl), at.directory],
     [createReadinessServer(wire, ready), at.readiness],
-    [createPeerServer(peerRouter({ beliefs, follower, vouch, now })), at.peers],
+    [createPeerServer(peerRouter({ beliefs, follower, crashReports, vouch, now })), at.peers],
   ];
   if (metricsPort > 0)
     servers.push([metricsPageOf(parts, registry, linesDropped), `${instance.ip}:${metricsPort}`]);
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -15,6 +15,7 @@
 import type { Phase } from './lifecycle/phase';
 import { startPhase } from './lifecycle/phase';
 import { askPeers, askSnapshot } from './peers/ask';
+import { reportExchange } from './peers/reportExchange';
 import { VouchedPeers, knownInstances } from './peers/vouched';
 import { watchPeer } from './peers/watch';
 import type { Wire } from './wireNames';
@@ -68,6 +69,27 @@
   return quarantine;
 };
 
+/** This instance's reports of crashes; its peers get those that the store does not have. */
+const crashReportsOf = (
+  { store, beliefs, fleet, log, now }: Pick<Parts, 'store' | 'beliefs' | 'fleet' | 'log' | 'now'>,
+  book: Quarantine,
+): CrashReports => {
+  const crashReports = new CrashReports({
+    store,
+    book,
+    fleetSize: () => fleet.size(),
+    nextId: randomUUID,
+    logName: randomUUID(),
+    random: Math.random,
+    now,
+    log: (event, detail) => log.write('crash-report', undefined, { event, detail }),
+  });
+  beliefs.changes.subscribe((change) => {
+    if (change.kind === 'crash-report') crashReports.stored(change.key);
+  });
+  return crashReports;
+};
+
 /** Peers by their own word, unless their entry has gone since. */
 const vouchedOf = (beliefs: Beliefs, now: () => number): VouchedPeers => {
   const vouched = new VouchedPeers(now);
@@ -100,14 +122,7 @@
     fleet,
     quarantine,
     answeredLately: new AnsweredLately(now),
-    crashReports: new CrashReports({
-      store,
-      book: quarantine,
-      fleetSize: () => fleet.size(),
-      nextId: randomUUID,
-      random: Math.random,
-      log: (event, detail) => log.write('crash-report', undefined, { event, detail }),
-    }),
+    crashReports: crashReportsOf({ store, beliefs, fleet, log, now }, quarantine),
     ready: () => phase.value === 'serving' && beliefs.configuration !== undefined,
     now,
   };
@@ -115,11 +130,13 @@
 
 /** Starts following the store. */
 export const startFollowing = (parts: Parts): Follower => {
-  const { store, beliefs, vouched, self, log, metrics, now, ready } = parts;
+  const { store, beliefs, vouched, crashReports, self, log, metrics, now, ready } = parts;
   const { seeds } = parts.settings();
   const vouchFor = () => (ready() ? self : null);
   const peers = () => [...knownInstances(beliefs, vouched).values()];
-  const asking = { peers, self, seeds, vouchFor, log };
+  let storeReached = false;
+  const exchangeReports = reportExchange({ crashReports, storeReached: () => storeReached, log });
+  const asking = { peers, self, seeds, vouchFor, exchangeReports, log };
   const follower = follow({
     store,
     beliefs,
@@ -131,6 +148,7 @@
     random: Math.random,
   });
   follower.status.subscribe(({ reached, reason, through }) => {
+    storeReached = reached;
     metrics.storeReached.set(reached ? 1 : 0);
     const event = reached ? 'reached' : 'lost';
     log.write('store', undefined, { event, reason, through: through?.id });
--- a/packages/gateway/src/peers/ask.ts
+++ b/packages/gateway/src/peers/ask.ts
@@ -12,6 +12,7 @@
 import { unpackFacts } from '@cardamomladder/fleet';
 import type { DecisionLog } from '../decisionLog';
 import { peerClient } from './client';
+import type { ReportExchange } from './reportExchange';
 
 /** Peers asked at a time: one near, one in turn. */
 const PEERS_ASKED = 2;
@@ -31,6 +32,7 @@
   seeds: readonly string[];
   /** This instance's entry while it takes callers. */
   vouchFor: () => InstanceEntry | null;
+  exchangeReports: ReportExchange;
   log: DecisionLog;
 }
 
@@ -64,7 +66,7 @@
 
 /** Asks one peer; undefined, and a line in the log, when it has no usable answer. */
 const askOne = async (
-  { vouchFor, log }: AskOptions,
+  { vouchFor, exchangeReports, log }: AskOptions,
   address: string,
   revision: number,
   timeoutMs: number,
@@ -73,10 +75,11 @@
     log.write('store', undefined, { event: 'peer did not answer', peer: address, reason });
   };
   try {
-    const { packed, ...known } = await peerClient(address, timeoutMs).facts.query({
+    const { packed, reports, ...known } = await peerClient(address, timeoutMs).facts.query({
       revision,
       asker: vouchFor(),
     });
+    exchangeReports(address, reports).catch((error: Error) => failed(error.message));
     if (packed === undefined) return known;
     const list = await unpackFacts(packed);
     return list.isOk() ? { ...known, list: list.value } : failed(list.error.message);
--- a/packages/gateway/src/peers/client.ts
+++ b/packages/gateway/src/peers/client.ts
@@ -4,7 +4,7 @@
  * it nine processes needed 0.6 s less on a calm day (19.8 and 19.1 processor
  * seconds), and 1.3 MB each.
  */
-import type { TRPCLink } from '@trpc/client';
+import type { Operation, TRPCLink } from '@trpc/client';
 import { TRPCClientError, createTRPCClient } from '@trpc/client';
 import { observable } from '@trpc/server/observable';
 import type { IncomingMessage } from 'node:http';
@@ -34,21 +34,33 @@
   });
 };
 
+/** A question: in the path, as a reader sees it in a trace, or with a body, as reports are too long for a path. */
+interface PeerCall {
+  path: string;
+  body?: string;
+}
+
+const callOf = ({ type, path, input }: Operation): PeerCall =>
+  type === 'mutation'
+    ? { path: `/${path}`, body: JSON.stringify(input) }
+    : { path: `/${path}?input=${encodeURIComponent(JSON.stringify(input))}` };
+
 /** Asks once; `failed` may come after `done`, the caller takes the first. Returns how to give up. */
 const ask = (
   address: string,
-  path: string,
+  { path, body }: PeerCall,
   timeoutMs: number,
   done: (reply: PeerReply) => void,
   failed: (error: Error) => void,
 ): (() => void) => {
-  const req = httpRequest({ ...splitAddress(address), path, agent }, (res) =>
+  const method = body === undefined ? 'GET' : 'POST';
+  const req = httpRequest({ ...splitAddress(address), path, method, agent }, (res) =>
     readReply(res, done, failed),
   );
   const timer = setTimeout(() => req.destroy(new Error(`no answer in ${timeoutMs} ms`)), timeoutMs);
   req.on('error', failed);
   req.on('close', () => clearTimeout(timer));
-  req.end();
+  req.end(body);
   return () => req.destroy();
 };
 
@@ -57,7 +69,6 @@
   () =>
   ({ op }) =>
     observable((observer) => {
-      const path = `/${op.path}?input=${encodeURIComponent(JSON.stringify(op.input))}`;
       const failed = (error: Error) => observer.error(TRPCClientError.from(error));
       const done = (reply: PeerReply) => {
         if ('error' in reply) {
@@ -67,7 +78,7 @@
         observer.next({ result: { type: 'data', data: reply.result.data } });
         observer.complete();
       };
-      return ask(address, path, timeoutMs, done, failed);
+      return ask(address, callOf(op), timeoutMs, done, failed);
     });
 
 /** A client of the peer at `address` whose questions fail after `timeoutMs`. */
--- /dev/null
+++ b/packages/gateway/src/peers/reportFormat.ts
@@ -0,0 +1,30 @@
+/** How reports of crashes look on their way from peer to peer. */
+import { z } from 'zod';
+import { REPORTS_AT_A_TIME } from '@cardamomladder/fleet';
+import type { TargetRun } from '@cardamomladder/types';
+import { callerDigest, requestDigest } from '@cardamomladder/types';
+
+const request = z.string().transform(requestDigest);
+const caller = z.string().transform(callerDigest);
+const run = z.string().transform((text) => text as TargetRun);
+
+const mark = z.object({ log: z.string(), sequence: z.number().int().min(0) });
+const passedReport = z.object({
+  id: z.string().min(1),
+  ageMs: z.number().min(0),
+  report: z.object({
+    crashes: z
+      .array(
+        z.object({ run, requests: z.array(z.object({ request, caller })).readonly() }).readonly(),
+      )
+      .readonly(),
+    answered: z.array(z.object({ request, caller: caller.optional() })).readonly(),
+  }),
+});
+const passedReports = z.array(passedReport).max(REPORTS_AT_A_TIME);
+
+/** A question for reports, with the asker's own. */
+export const reportQuestion = z.object({ after: mark.optional(), reports: passedReports });
+
+/** The answer to it. */
+export const reportAnswer = z.object({ mark, reports: passedReports });
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -1,7 +1,8 @@
 /**
  * What peers may ask of each other: the facts this instance holds, for one
  * that the store turns away; and the changes it watches, for those that
- * follow the store through it. Each question carries the asker's own entry;
+ * follow the store through it; and reports of crashes that the store may not
+ * have, both ways. Each question for facts carries the asker's own entry;
  * hearing from it directly vouches that it lives, though its entry in the
  * store may be gone.
  */
@@ -10,13 +11,17 @@
 import { z } from 'zod';
 import type {
   Beliefs,
+  CrashReports,
   FactChanges,
   FollowedFacts,
   Follower,
   InstanceEntry,
+  PassedReports,
+  ReportMark,
   StoreStatus,
 } from '@cardamomladder/fleet';
 import { PackedFacts } from '@cardamomladder/fleet';
+import { reportQuestion } from './reportFormat';
 
 const t = initTRPC.create();
 
@@ -27,6 +32,7 @@
 export interface PeerRouterOptions {
   beliefs: Beliefs;
   follower: Follower;
+  crashReports: Pick<CrashReports, 'mark' | 'after' | 'hear'>;
   vouch: (asker: InstanceEntry) => void;
   /** Steady clock, ms. */
   now: () => number;
@@ -39,6 +45,8 @@
   changes?: FactChanges;
   /** All facts, packed. */
   packed?: string;
+  /** Up to where this instance has reports of crashes that the store may not have. */
+  reports: ReportMark;
 }
 
 /** An answer to a peer that follows: changes; or why it must ask elsewhere. */
@@ -86,7 +94,7 @@
   { beliefs, follower }: PeerRouterOptions,
   packed: PackedFacts,
   revision: number,
-): Promise<KnownFacts> => {
+): Promise<Pick<KnownFacts, 'changes' | 'packed'>> => {
   if (beliefs.revision <= revision) return {};
   const { changeLog } = follower;
   const changes = revision > 0 ? changeLog.since(revision) : undefined;
@@ -97,7 +105,7 @@
 
 /** Builds the router of one instance. */
 export const peerRouter = (options: PeerRouterOptions) => {
-  const { beliefs, follower, vouch, now } = options;
+  const { beliefs, follower, crashReports, vouch, now } = options;
   const packed = new PackedFacts(() => beliefs.list());
   return t.router({
     facts: t.procedure.input(question).query(async ({ input }): Promise<KnownFacts> => {
@@ -106,6 +114,7 @@
       return {
         ...(reached ? { storeReachedForMs: now() - since } : {}),
         ...(await knownAfter(options, packed, input.revision)),
+        reports: crashReports.mark,
       };
     }),
     changes: t.procedure
@@ -115,6 +124,11 @@
         await untilNewer(follower, input.revision, input.waitMs);
         return changesAfter(follower, input.revision);
       }),
+    reports: t.procedure.input(reportQuestion).mutation(({ input }): PassedReports => {
+      const answer = crashReports.after(input.after);
+      crashReports.hear(input.reports, follower.status.value.reached);
+      return answer;
+    }),
   });
 };
 
--- a/packages/gateway/src/peers/server.ts
+++ b/packages/gateway/src/peers/server.ts
@@ -7,7 +7,7 @@
 import { TRPCError } from '@trpc/server';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import { sendJson } from '@cardamomladder/http-json';
+import { readJson, sendJson } from '@cardamomladder/http-json';
 import type { PeerRouter } from './router';
 
 const OK = 200;
@@ -18,10 +18,11 @@
   const url = new URL(req.url ?? '/', 'http://instance');
   const questions = router.createCaller({});
   const name = url.pathname.slice(1);
+  if (name === 'reports') return questions.reports((await readJson(req)) as never);
   if (name !== 'facts' && name !== 'changes') {
     throw new TRPCError({
       code: 'NOT_FOUND',
-      message: `no question ${name}; ask facts or changes`,
+      message: `no question ${name}; ask facts, changes or reports`,
     });
   }
   const input = JSON.parse(url.searchParams.get('input') ?? 'null') as never;
--- a/packages/steering/src/quarantine/quarantine.ts
+++ b/packages/steering/src/quarantine/quarantine.ts
@@ -94,6 +94,11 @@
     this.changed = true;
   }
 
+  /** True while the report under `key` is filed. */
+  knows(key: string): boolean {
+    return this.reports.has(key);
+  }
+
   /** Forgets a report. */
   drop(key: string): void {
     if (this.reports.delete(key)) this.changed = true;
