Members of a fleet in virtual time: who watches the store, and who learns of what

What was missing: that instances agree on relays was tested by their choice alone, from equal lists, never with lists that differ while instances join, leave, are killed or cut off.

Change: the real followers, registrations and answers to peers, over a store and links in virtual time.

--- a/packages/fleet/src/crashReports.ts
+++ b/packages/fleet/src/crashReports.ts
@@ -11,6 +11,7 @@
  * peers that ask get it from here.
  */
 import type { AnsweredRequest, CrashReport, TargetCrash } from '@cardamomladder/types';
+import { pause } from '@cardamomladder/types';
 import type { Store, StoreFailure } from './facts';
 import { GatheredReport } from './gatheredReport';
 import type { PassedReport, PassedReports, ReportMark } from './passedReports';
@@ -33,11 +34,6 @@
 /** Revisions above any of the store's, for reports that it does not have yet. */
 const UNWRITTEN_FROM = 2 ** 52;
 
-const pause = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Where reports take effect. */
 export interface ReportBook {
   file: (key: string, revision: number, report: CrashReport) => void;
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -18,9 +18,9 @@
  *   the same time, and it is left alone for a while.
  * - Entries lapse while the store is away; their removals are held.
  */
-import { setTimeout as pause } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
 import type { BehaviorSubject } from 'rxjs';
+import { pause } from '@cardamomladder/types';
 import type { Beliefs } from './beliefs';
 import { ChangeLog } from './changeLog';
 import type { FactChanges, FactList, InstanceEntry, Store, StoreFailure } from './facts';
@@ -153,7 +153,7 @@
   };
   const stepList = async (): Promise<StoreFailure | undefined> => {
     const asked = beliefs.revision === 0 ? askSnapshot() : Promise.resolve(undefined);
-    const early = await Promise.race([asked, pause(SNAPSHOT_ALONE_MS, undefined)]);
+    const early = await Promise.race([asked, pause(SNAPSHOT_ALONE_MS)]);
     if (early) return beginFromPeer(early);
     const listed = await store.list();
     if (listed.isErr()) {
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -1,7 +1,7 @@
 /** A planned stop, from the signal to the moment when nothing is under way. */
-import { setTimeout as pause } from 'node:timers/promises';
 import type { BehaviorSubject } from 'rxjs';
 import type { Registration } from '@cardamomladder/fleet';
+import { pause } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { CallerConnections } from '../server/callerConnections';
 import type { Phase } from './phase';
--- /dev/null
+++ b/packages/gateway/src/peers/__fixtures__/playedStore.ts
@@ -0,0 +1,137 @@
+/** The store in virtual time: revisions, leases and watches, reached or not by each instance. */
+import type { ResultAsync } from 'neverthrow';
+import { ResultAsync as Results } from 'neverthrow';
+import type {
+  FactChange,
+  FactRecord,
+  InstanceEntry,
+  Store,
+  StoreFailure,
+} from '@cardamomladder/fleet';
+import { pause } from '@cardamomladder/types';
+
+/** Way there and back, ms. */
+const ANSWER_MS = 4;
+/** When a call that nothing answers is given up, ms. */
+const SILENCE_MS = 450;
+/** How often leases and watches are looked at, ms. */
+const LOOK_MS = 20;
+
+/** A call that failed; told apart from other errors by its kind. */
+class FailedCall extends Error {
+  constructor(
+    readonly kind: StoreFailure['kind'],
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+interface Held {
+  record: FactRecord;
+  lease: number;
+}
+
+/** The one store of a fleet. */
+export class PlayedStore {
+  revision = 0;
+
+  /** Calls taken, by kind. */
+  readonly calls = { list: 0, watch: 0, lease: 0 };
+
+  private readonly held = new Map<string, Held>();
+
+  private readonly changes: FactChange[] = [];
+
+  private readonly leases = new Map<number, { endsAt: number; ttlMs: number }>();
+
+  private leasesGranted = 0;
+
+  constructor(private readonly now: () => number) {}
+
+  /** Writes a fact, or takes it away. */
+  put(key: string, fact: FactRecord['fact'] | undefined, lease = 0): void {
+    this.revision += 1;
+    const record = fact && { key, revision: this.revision, fact };
+    if (record) this.held.set(key, { record, lease });
+    else this.held.delete(key);
+    this.changes.push(record ?? { key, revision: this.revision, removed: true });
+  }
+
+  /** Ends leases that were not renewed. */
+  expire(): void {
+    this.leases.forEach(({ endsAt }, id) => {
+      if (endsAt <= this.now()) this.end(id);
+    });
+  }
+
+  /** The store as one instance reaches it, or does not. */
+  seenBy(reaches: () => boolean): Store {
+    const call = <T>(answer: () => Promise<T>): ResultAsync<T, StoreFailure> =>
+      Results.fromPromise(this.answered(reaches, answer), (error) => error as FailedCall);
+    return {
+      list: () =>
+        call(async () => {
+          this.calls.list += 1;
+          const records = [...this.held.values()].map(({ record }) => record);
+          return { records, revision: this.revision };
+        }),
+      watch: (after, waitMs) => call(() => this.watch(after, waitMs, reaches)),
+      grantLease: (ttlMs) => call(async () => this.grant(ttlMs)),
+      renewLease: (id) => call(async () => this.renew(id)),
+      endLease: (id) => call(async () => this.end(id)),
+      register: (instance, lease) => call(async () => this.register(instance, lease)),
+      instanceKey: (id) => `instances/${id}`,
+      fileReport: () => call(async () => {}),
+      reportKey: (id) => `crashes/${id}`,
+      removeReports: () => call(async () => {}),
+      close: () => {},
+    };
+  }
+
+  private async answered<T>(reaches: () => boolean, answer: () => Promise<T>): Promise<T> {
+    await pause(ANSWER_MS);
+    if (reaches()) {
+      const value = await answer();
+      if (reaches()) return value;
+    }
+    await pause(SILENCE_MS);
+    throw new FailedCall('unavailable', 'cut off');
+  }
+
+  private async watch(after: number, waitMs: number, reaches: () => boolean) {
+    this.calls.watch += 1;
+    const end = this.now() + waitMs;
+    while (this.revision === after && this.now() < end && reaches()) await pause(LOOK_MS);
+    return {
+      changes: this.changes.filter(({ revision }) => revision > after),
+      revision: this.revision,
+    };
+  }
+
+  private grant(ttlMs: number) {
+    this.calls.lease += 1;
+    this.leasesGranted += 1;
+    this.leases.set(this.leasesGranted, { endsAt: this.now() + ttlMs, ttlMs });
+    return { id: this.leasesGranted, ttlMs };
+  }
+
+  private renew(id: number): void {
+    this.calls.lease += 1;
+    const lease = this.leases.get(id);
+    if (!lease) throw new FailedCall('lease-ended', 'no such lease');
+    lease.endsAt = this.now() + lease.ttlMs;
+  }
+
+  private register(instance: InstanceEntry, lease: number): void {
+    if (!this.leases.has(lease)) throw new FailedCall('lease-ended', 'no such lease');
+    this.put(`instances/${instance.id}`, { kind: 'instance', instance }, lease);
+  }
+
+  private end(id: number): void {
+    this.leases.delete(id);
+    [...this.held]
+      .filter(([, { lease }]) => lease === id)
+      .forEach(([key]) => this.put(key, undefined));
+  }
+}
--- a/packages/gateway/src/requests/crashEvidence.ts
+++ b/packages/gateway/src/requests/crashEvidence.ts
@@ -1,6 +1,6 @@
 /** What a send tells of whether its request crashes targets. */
-import { setTimeout as pause } from 'node:timers/promises';
 import { CRASHES_OF_A_CAUSE } from '@cardamomladder/steering';
+import { pause } from '@cardamomladder/types';
 import type { AttemptOutcome } from '../targets/attempt';
 import type { ReachableTarget } from '../targets/registry';
 import { FIRST_SERVER_ERROR } from './repeatPolicy';
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -41,5 +41,6 @@
 } from './ids';
 export type { AnsweredRequest, AskedRequest, CrashReport, TargetCrash } from './crashes';
 export { splitAddress } from './address';
+export { pause } from './pause';
 export type { FailureKind, SchemaIssue } from './errors';
 export { Failure, describeIssues, failure, fieldPath } from './errors';
