Changes go packed to those that follow a relay

Each change of each target goes to each instance, as JSON of some 250 bytes; the busiest machine (a relay) moves 1.9 MB a second.

Change: three changes and more are deflated, once for all followers that ask from the same revision; a follower says that it unpacks them, so one of an older version still gets them plain. A stretch that is cut or of another form counts as the relay's failure, and the next one or the store is asked.

--- a/packages/fleet/src/packedFacts.ts
+++ b/packages/fleet/src/packedFacts.ts
@@ -1,13 +1,19 @@
 /**
- * A list of facts as one instance hands it to another: compressed text. A
- * fleet that starts as a whole passes its list on hundreds of times within
+ * Facts as one instance hands them to another: compressed text.
+ *
+ * A fleet that starts as a whole passes its list on hundreds of times within
  * seconds, over links of a few Mbit/s and on quarters of a core; packed, a list
  * of 767 facts takes 27 kB in place of 196 kB, and is packed once per revision.
+ * Each change goes to each instance: of 300 that follow 3,000 targets the
+ * changes alone were nearly all bytes between failure domains (123 MB in 43 s).
+ * Forty changes of targets take 2.3 kB in place of 10.2 kB, and are packed once
+ * for all that ask from the same revision.
  */
 import { promisify } from 'node:util';
 import { deflateRaw, inflateRaw } from 'node:zlib';
+import { LRUCache } from 'lru-cache';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
-import type { FactList } from './facts';
+import type { FactChange, FactList } from './facts';
 
 /** Compression level: 21 kB of such a list before it is text, 16 kB at the highest level, which takes longer while dozens wait. */
 const FASTEST = 1;
@@ -23,22 +29,28 @@
 const deflate = promisify<Buffer, { level: number }, Buffer>(deflateRaw);
 const inflate = promisify<Buffer, { maxOutputLength: number }, Buffer>(inflateRaw);
 
-/** Packs a list. */
-export const packFacts = async (list: FactList): Promise<string> => {
-  const text = Buffer.from(JSON.stringify(list));
+const pack = async (value: FactList | readonly FactChange[]): Promise<string> => {
+  const text = Buffer.from(JSON.stringify(value));
   return (await deflate(text, { level: FASTEST })).toString('base64');
 };
 
+/** Packs a list. */
+export const packFacts = (list: FactList): Promise<string> => pack(list);
+
+/** Packs changes. */
+export const packChanges = (changes: readonly FactChange[]): Promise<string> => pack(changes);
+
 const parsed = async (packed: string): Promise<unknown> => {
   const bytes = Buffer.from(packed, 'base64');
   const text = await inflate(bytes, { maxOutputLength: UNPACKED_MOST_BYTES });
   return JSON.parse(text.toString('utf8'));
 };
 
-const read = ResultAsync.fromThrowable(parsed, (error): PackedFailure => ({
-  kind: 'unreadable',
-  message: `a peer's list is cut or damaged (${(error as Error).message}); list at the store`,
-}));
+const unreadable = (message: string): PackedFailure => ({ kind: 'unreadable', message });
+
+const read = ResultAsync.fromThrowable(parsed, (error) =>
+  unreadable(`a peer's facts are cut or damaged (${(error as Error).message}); ask the store`),
+);
 
 const isList = (value: unknown): value is FactList => {
   const { records, revision } = (value ?? {}) as Partial<FactList>;
@@ -50,10 +62,26 @@
   read(packed).andThen((value) =>
     isList(value)
       ? okAsync(value)
-      : errAsync<FactList, PackedFailure>({
-          kind: 'unreadable',
-          message: "a peer's list has another form; list at the store, and update that peer",
-        }),
+      : errAsync<FactList, PackedFailure>(
+          unreadable("a peer's list has another form; list at the store, and update that peer"),
+        ),
+  );
+
+const areChanges = (value: unknown): value is FactChange[] =>
+  Array.isArray(value) &&
+  value.every(
+    (each: Partial<FactChange> | null) =>
+      typeof each?.key === 'string' && Number.isInteger(each.revision),
+  );
+
+/** Unpacks changes that a peer packed. */
+export const unpackChanges = (packed: string): ResultAsync<FactChange[], PackedFailure> =>
+  read(packed).andThen((value) =>
+    areChanges(value)
+      ? okAsync(value)
+      : errAsync<FactChange[], PackedFailure>(
+          unreadable("a peer's changes have another form; watch the store, and update that peer"),
+        ),
   );
 
 /** Packs the newest list once, however often it is asked for. */
@@ -70,3 +98,21 @@
     return text;
   }
 }
+
+/** Stretches of changes kept packed: followers that fell behind ask from other revisions than most. */
+const STRETCHES_KEPT = 8;
+
+/** Packs a stretch of changes once, however many followers ask for it. */
+export class PackedChanges {
+  private readonly packed = new LRUCache<string, Promise<string>>({ max: STRETCHES_KEPT });
+
+  /** The changes after one revision up to another, packed. */
+  between(after: number, upTo: number, changes: readonly FactChange[]): Promise<string> {
+    const stretch = `${after}-${upTo}`;
+    const known = this.packed.get(stretch);
+    if (known) return known;
+    const text = packChanges(changes);
+    this.packed.set(stretch, text);
+    return text;
+  }
+}
--- a/packages/gateway/src/peers/__fixtures__/playedMembers.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedMembers.ts
@@ -24,6 +24,7 @@
 import type { PeerRouter } from '../router';
 import { peerRouter } from '../router';
 import { VouchedPeers, knownInstances } from '../vouched';
+import { followedFacts } from '../watch';
 import type { PlayedStore } from './playedStore';
 
 /** Regions with their failure domains, by turns. */
@@ -191,12 +192,13 @@
     revision: number,
     waitMs: number,
   ): Promise<FollowedFacts> {
-    const question = { revision, asker: from.self, waitMs };
+    const question = { revision, asker: from.self, waitMs, unpacks: true };
     const answer = await this.call(from, peer.peerAddress, waitMs + FOLLOWED_WITHIN_MS, (to) =>
       to.answers.changes(question),
     );
-    if (answer.kind === 'changes') return answer;
-    throw new Unanswered(answer.kind === 'history-gone' ? answer.kind : 'unavailable', answer.kind);
+    const facts = await followedFacts(peer, answer);
+    if (facts.isErr()) throw new Unanswered(facts.error.kind, facts.error.message);
+    return facts.value;
   }
 }
 
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -12,15 +12,15 @@
 import type {
   Beliefs,
   CrashReports,
+  FactChange,
   FactChanges,
-  FollowedFacts,
   Follower,
   InstanceEntry,
   PassedReports,
   ReportMark,
   StoreStatus,
 } from '@cardamomladder/fleet';
-import { PackedFacts } from '@cardamomladder/fleet';
+import { PackedChanges, PackedFacts } from '@cardamomladder/fleet';
 import { reportQuestion } from './reportFormat';
 
 const t = initTRPC.create();
@@ -49,9 +49,20 @@
   reports: ReportMark;
 }
 
+/** Changes for a peer that follows, packed or not, and how long ago the store was heard, ms. */
+interface PassedChanges {
+  kind: 'changes';
+  revision: number;
+  storeHeardMsAgo: number;
+  changes?: FactChange[];
+  packed?: string;
+}
+
 /** An answer to a peer that follows: changes; or why it must ask elsewhere. */
-export type FollowedChanges =
-  ({ kind: 'changes' } & FollowedFacts) | { kind: 'not-watching' } | { kind: 'history-gone' };
+export type FollowedChanges = PassedChanges | { kind: 'not-watching' } | { kind: 'history-gone' };
+
+/** From so many changes on they are packed: one or two become hardly smaller. */
+const PACKED_FROM = 3;
 
 const question = z.object({
   /** The store's revision up to which the asker knows all. */
@@ -59,18 +70,30 @@
   /** The asker's entry, while it takes callers. */
   asker: z.custom<InstanceEntry>().nullable(),
 });
-const waitingQuestion = question.extend({ waitMs: z.number().max(WAIT_MOST_MS) });
+const waitingQuestion = question.extend({
+  waitMs: z.number().max(WAIT_MOST_MS),
+  /** True when the asker can unpack changes. */
+  unpacks: z.boolean().default(false),
+});
 
 /** Only what was read at the store itself is passed on: two that followed each other would both stand still. */
 const watches = ({ reached, through }: StoreStatus): boolean => reached && through === undefined;
 
-const changesAfter = (follower: Follower, revision: number): FollowedChanges => {
+const changesAfter = async (
+  follower: Follower,
+  packed: PackedChanges,
+  { revision, unpacks }: z.output<typeof waitingQuestion>,
+): Promise<FollowedChanges> => {
   const { changeLog, status, storeHeardMsAgo } = follower;
   if (!watches(status.value)) return { kind: 'not-watching' };
   const changes = changeLog.since(revision);
   if (!changes) return { kind: 'history-gone' };
-  const storeHeard = storeHeardMsAgo();
-  return { kind: 'changes', changes, revision: changeLog.revision, storeHeardMsAgo: storeHeard };
+  const upTo = changeLog.revision;
+  const content =
+    unpacks && changes.length >= PACKED_FROM
+      ? { packed: await packed.between(revision, upTo, changes) }
+      : { changes };
+  return { kind: 'changes', ...content, revision: upTo, storeHeardMsAgo: storeHeardMsAgo() };
 };
 
 /** Resolves at the first change after `revision`, when the store is lost, or after `waitMs`. */
@@ -107,6 +130,7 @@
 export const peerRouter = (options: PeerRouterOptions) => {
   const { beliefs, follower, crashReports, vouch, now } = options;
   const packed = new PackedFacts(() => beliefs.list());
+  const packedChanges = new PackedChanges();
   return t.router({
     facts: t.procedure.input(question).query(async ({ input }): Promise<KnownFacts> => {
       if (input.asker) vouch(input.asker);
@@ -122,7 +146,7 @@
       .query(async ({ input }): Promise<FollowedChanges> => {
         if (input.asker) vouch(input.asker);
         await untilNewer(follower, input.revision, input.waitMs);
-        return changesAfter(follower, input.revision);
+        return changesAfter(follower, packedChanges, input);
       }),
     reports: t.procedure.input(reportQuestion).mutation(({ input }): PassedReports => {
       const answer = crashReports.after(input.after);
--- a/packages/gateway/src/peers/watch.ts
+++ b/packages/gateway/src/peers/watch.ts
@@ -1,6 +1,7 @@
 /** Follows the store through a peer that watches it. */
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
-import type { InstanceEntry, PeerWatch, StoreFailure } from '@cardamomladder/fleet';
+import type { FollowedFacts, InstanceEntry, PeerWatch, StoreFailure } from '@cardamomladder/fleet';
+import { unpackChanges } from '@cardamomladder/fleet';
 import type { DecisionLog } from '../decisionLog';
 import { peerClient } from './client';
 import type { FollowedChanges } from './router';
@@ -20,6 +21,21 @@
   message: `peer ${peer.id}: ${reason}`,
 });
 
+/** What a followed peer's answer holds, or why it holds nothing. */
+export const followedFacts = (
+  peer: InstanceEntry,
+  answer: FollowedChanges,
+): ResultAsync<FollowedFacts, StoreFailure> => {
+  if (answer.kind === 'history-gone')
+    return errAsync({ ...failed(peer, answer.kind), kind: answer.kind });
+  if (answer.kind !== 'changes') return errAsync(failed(peer, 'does not watch the store'));
+  const { revision, storeHeardMsAgo, changes = [], packed } = answer;
+  const all = packed === undefined ? okAsync(changes) : unpackChanges(packed);
+  return all
+    .map((each) => ({ changes: each, revision, storeHeardMsAgo }))
+    .mapErr(({ message }) => failed(peer, message));
+};
+
 /** Builds the question that waits at a followed peer; each failure is logged. */
 export const watchPeer =
   ({ vouchFor, log }: WatchOptions): PeerWatch =>
@@ -29,15 +45,11 @@
         revision,
         asker: vouchFor(),
         waitMs,
+        unpacks: true,
       }),
       (error) => failed(peer, (error as Error).message),
     )
-      .andThen((answer: FollowedChanges) => {
-        if (answer.kind === 'changes') return okAsync(answer);
-        if (answer.kind === 'history-gone')
-          return errAsync<never, StoreFailure>({ ...failed(peer, answer.kind), kind: answer.kind });
-        return errAsync(failed(peer, 'does not watch the store'));
-      })
+      .andThen((answer: FollowedChanges) => followedFacts(peer, answer))
       .mapErr((failure) => {
         log.write('store', undefined, {
           event: 'followed peer failed',
