A relay keeps as many changes as it knows facts

Cause: a relay kept 1,024 changes. In virtual time 3,000 facts that change at once send all of 30 instances to the store: 87 watches in place of 6, each answered with all 3,000 (over a megabyte), and relays are left alone for 3 s.

Ruled out: a larger constant (the next fleet outgrows it; 1,239 machines steer 12,400 targets). More changes than facts are never worth keeping: a list is shorter.

Change: the bound follows the most facts ever known, 1,024 at least. What arrives is put in force before it is passed on, so that the bound knows of it.

--- a/packages/fleet/src/beliefs.ts
+++ b/packages/fleet/src/beliefs.ts
@@ -40,6 +40,11 @@
 
   private readonly records = new Map<string, FactRecord>();
 
+  /** How many records are held. */
+  get size(): number {
+    return this.records.size;
+  }
+
   /** Every record held, to pass on to a peer. */
   list(): FactList {
     return { records: [...this.records.values()], revision: this.revision };
--- a/packages/fleet/src/changeLog.ts
+++ b/packages/fleet/src/changeLog.ts
@@ -6,8 +6,8 @@
 import { Subject } from 'rxjs';
 import type { FactChange, FactChanges } from './facts';
 
-/** Changes kept: a whole fleet of 300 targets and instances that is replaced within one question of a peer (700 ms) fits. */
-const CHANGES_KEPT = 1024;
+/** Changes kept at least: a whole fleet of 300 targets and instances that is replaced within one question of a peer (700 ms) fits. */
+const CHANGES_KEPT_LEAST = 1024;
 
 /** Changes in the store's order; `advanced` emits after each addition. */
 export class ChangeLog {
@@ -21,6 +21,16 @@
 
   private changes: readonly FactChange[] = [];
 
+  /** Changes kept at most; it follows the most facts ever known, since all of them may be removed at once. */
+  private most = CHANGES_KEPT_LEAST;
+
+  /**
+   * `known` tells how many facts are known: so many changes are kept, as all
+   * of them may change within one question. With 1,024 kept, 3,000 changes at
+   * once sent each of 30 instances to the store (87 watches in place of 6).
+   */
+  constructor(private readonly known: () => number = () => 0) {}
+
   /** Starts again at a listed revision: what changed before is not known one by one. */
   restart(revision: number): void {
     if (revision === this.revision) return;
@@ -35,7 +45,8 @@
     if (after > this.revision) this.restart(after);
     if (revision <= this.revision) return;
     const all = [...this.changes, ...changes.filter((c) => c.revision > this.revision)];
-    const dropped = all.slice(0, Math.max(0, all.length - CHANGES_KEPT)).at(-1);
+    this.most = Math.max(this.most, this.known());
+    const dropped = all.slice(0, Math.max(0, all.length - this.most)).at(-1);
     this.keptFrom = dropped?.revision ?? this.keptFrom;
     this.changes = all.filter((change) => change.revision > this.keptFrom);
     this.revision = revision;
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -101,7 +101,7 @@
 /** Starts following; returns at once. */
 export const follow = (options: FollowerOptions): Follower => {
   const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random } = options;
-  const changeLog = new ChangeLog();
+  const changeLog = new ChangeLog(() => beliefs.size);
   const taken = new HeldRemovals(beliefs, now);
   let stopped = false;
   let listNext = true;
@@ -116,8 +116,9 @@
     changeLog.restart(list.revision);
   };
   const takeChanges = (after: number, heard: FactChanges): void => {
-    changeLog.add(after, heard);
+    // First in force, then passed on: the log keeps as many changes as facts are known.
     taken.takeChanges(heard);
+    changeLog.add(after, heard);
   };
 
   const reach = new StoreReach({
--- a/packages/gateway/src/peers/__tests__/membership.test.ts
+++ b/packages/gateway/src/peers/__tests__/membership.test.ts
@@ -141,4 +141,19 @@
     },
     60_000,
   );
+
+  it.each([500, 3000])('take %i changes at once from those that watch the store', async (count) => {
+    // Symptom: the store gets six calls of a whole list from each instance of a
+    // region at once. Sequence: a region of 1,500 targets loses power and is
+    // back; its entries go and come within a second. Cause: a relay keeps
+    // fewer changes than that, and tells those that follow to list.
+    const live = await play(30, []);
+    const { list, watch } = store.calls;
+    for (let i = 0; i < count; i += 1) store.put(`evacuations/d-${i}`, evacuationOf(`d-${i}`));
+    await vi.advanceTimersByTimeAsync(KNOWN_WITHIN_MS);
+    const known = live.map(({ beliefs }) => beliefs.evacuated.size);
+    expect(known).toEqual(live.map(() => count));
+    expect(store.calls.watch - watch).toBeLessThanOrEqual(10);
+    expect(store.calls.list).toBe(list);
+  });
 });
