--- a/packages/fleet/src/__tests__/packedFacts.test.ts
+++ b/packages/fleet/src/__tests__/packedFacts.test.ts
@@ -1,6 +1,6 @@
 /** Changes on their way from a relay to those that follow it. */
 import { describe, expect, it } from 'vitest';
-import { PackedChanges, PackedFacts, packChanges, unpackChanges, unpackFacts } from '..';
+import { PackedChanges, packChanges, unpackChanges } from '..';
 import { targetRecord } from '../__fixtures__/instances';
 
 const changesOf = (count: number) => [
@@ -45,54 +45,3 @@
     expect(read.map((each) => each.isErr())).toEqual([true, true, true, true]);
   });
 });
-
-describe('a packed list for those that start', () => {
-  const setUp = () => {
-    let at = 0;
-    let revision = 1;
-    let made = 0;
-    const packed = new PackedFacts(
-      () => {
-        made += 1;
-        return { records: [targetRecord('t-1', revision)], revision };
-      },
-      () => at,
-    );
-    const revisionAfter = async (asked: number) => {
-      const list = await unpackFacts(await packed.after(asked));
-      return list.isOk() ? list.value.revision : undefined;
-    };
-    return {
-      revisionAfter,
-      made: () => made,
-      pass: (ms: number, changes = 0) => {
-        at += ms;
-        revision += changes;
-      },
-    };
-  };
-
-  it('is made a few times a second, though each of them changes the revision', async () => {
-    // Symptom: after a power loss a fleet of 300 serves a second later than
-    // one of 30. Sequence: all instances register and ask the few peers that
-    // they know for a list. Cause: each registration was a new revision, and
-    // the list was packed anew for each that asked.
-    const { revisionAfter, made, pass } = setUp();
-    for (let i = 0; i < 100; i += 1) {
-      await revisionAfter(0);
-      pass(10, 3);
-    }
-    expect(made()).toBeLessThanOrEqual(4);
-  });
-
-  it('is never as old as what the asker knows, while there is a newer one', async () => {
-    const { revisionAfter, pass } = setUp();
-    expect(await revisionAfter(0)).toBe(1);
-    pass(10, 1);
-    expect(await revisionAfter(1)).toBe(2);
-    pass(10, 1);
-    expect(await revisionAfter(0)).toBe(2);
-    pass(400);
-    expect(await revisionAfter(0)).toBe(3);
-  });
-});
--- a/packages/fleet/src/packedFacts.ts
+++ b/packages/fleet/src/packedFacts.ts
@@ -84,40 +84,17 @@
         ),
   );
 
-/**
- * For how long a packed list is handed out though newer changes are known, ms.
- * While a fleet starts, each registration makes a new revision, and a list of
- * 3,300 facts, 9 ms of a whole core to pack, was packed anew for each of the
- * hundred instances that ask. Whoever takes an older list follows from its
- * revision on, as with any list.
- */
-const PACKED_FRESH_MS = 300;
+/** Packs the newest list once, however often it is asked for. */
+export class PackedFacts {
+  private packed: { revision: number; text: Promise<string> } | undefined;
 
-interface PackedList {
-  revision: number;
-  at: number;
-  text: Promise<string>;
-}
+  constructor(private readonly source: () => FactList) {}
 
-/** Packs lists, each for all that ask within a while. */
-export class PackedFacts {
-  private packed: PackedList | undefined;
-
-  constructor(
-    private readonly source: () => FactList,
-    /** Steady clock, ms. */
-    private readonly now: () => number,
-  ) {}
-
-  /** A packed list of a revision above `revision`, where one is known; a little older than the newest. */
-  after(revision: number): Promise<string> {
-    const { packed } = this;
-    const isFresh = packed && this.now() - packed.at <= PACKED_FRESH_MS;
-    if (packed && isFresh && packed.revision > revision) return packed.text;
-    const list = this.source();
-    if (packed?.revision === list.revision) return packed.text;
-    const text = packFacts(list);
-    this.packed = { revision: list.revision, at: this.now(), text };
+  /** The packed list as of at least `revision`, the newest that is known. */
+  at(revision: number): Promise<string> {
+    if (this.packed?.revision === revision) return this.packed.text;
+    const text = packFacts(this.source());
+    this.packed = { revision, text };
     return text;
   }
 }
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -123,13 +123,13 @@
   const changes = revision > 0 ? changeLog.since(revision) : undefined;
   return changes
     ? { changes: { changes, revision: changeLog.revision } }
-    : { packed: await packed.after(revision) };
+    : { packed: await packed.at(beliefs.revision) };
 };
 
 /** Builds the router of one instance. */
 export const peerRouter = (options: PeerRouterOptions) => {
   const { beliefs, follower, crashReports, vouch, now } = options;
-  const packed = new PackedFacts(() => beliefs.list(), now);
+  const packed = new PackedFacts(() => beliefs.list());
   const packedChanges = new PackedChanges();
   return t.router({
     facts: t.procedure.input(question).query(async ({ input }): Promise<KnownFacts> => {
