Peers with nothing to tell are asked for no exchange of reports

Cause: how far an instance's reports go was the number of all it ever had, also when the store had them all by then.

Change: the mark is that of the last report still kept for peers, 0 for none. The test that reports are gone once written also asks for that now.

--- a/packages/fleet/src/__tests__/crashReports.test.ts
+++ b/packages/fleet/src/__tests__/crashReports.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { CrashReport } from '@cardamomladder/types';
 import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
-import { CrashReports, REPORT_KEPT_MS } from '..';
+import { CrashReports, REPORT_KEPT_MS, isCovered } from '..';
 
 const crashOf = (run: number, ...requests: string[]) => ({
   run: targetRun(targetId(`t-${run}`), run),
@@ -134,10 +134,13 @@
     await vi.advanceTimersByTimeAsync(20_000);
     expect(written).toEqual([]);
     expect(reports.after(undefined).reports.map(({ id }) => id)).toEqual(['report-1']);
+    expect(isCovered(reports.mark, undefined)).toBe(false);
     away = false;
     await vi.advanceTimersByTimeAsync(3100);
     expect(written.map(([id]) => id)).toEqual(['report-1']);
     expect(reports.after(undefined).reports).toEqual([]);
+    // Nothing is left for peers, so none is asked for an exchange.
+    expect(isCovered(reports.mark, undefined)).toBe(true);
   });
 
   it('is removed when it is old, here as well', async () => {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -37,7 +37,7 @@
 } from './packedFacts';
 export { strongOf } from './strong';
 export type { PassedReport, PassedReports, ReportMark } from './passedReports';
-export { REPORTS_AT_A_TIME } from './passedReports';
+export { REPORTS_AT_A_TIME, isCovered } from './passedReports';
 export { CrashReports, REPORT_KEPT_MS } from './crashReports';
 export { WATCH_WAIT_MS, follow } from './follower';
 export type { Registration, RegistrationOptions } from './registration';
--- a/packages/fleet/src/passedReports.ts
+++ b/packages/fleet/src/passedReports.ts
@@ -28,6 +28,10 @@
   sequence: number;
 }
 
+/** True when all up to `mark` is known to one that knows up to `known`. */
+export const isCovered = (mark: ReportMark, known: ReportMark | undefined): boolean =>
+  mark.sequence === 0 || (known?.log === mark.log && known.sequence >= mark.sequence);
+
 /** Some reports, and up to where they go. */
 export interface PassedReports {
   mark: ReportMark;
@@ -54,9 +58,10 @@
     private readonly now: () => number,
   ) {}
 
-  /** Up to where this instance's reports go. */
+  /** Up to where there is something for peers; 0 while there is nothing. */
   get mark(): ReportMark {
-    return { log: this.name, sequence: this.sequence };
+    this.dropOld();
+    return { log: this.name, sequence: [...this.kept.values()].at(-1)?.sequence ?? 0 };
   }
 
   /** True while the report under `key` is kept. */
--- a/packages/gateway/src/peers/reportExchange.ts
+++ b/packages/gateway/src/peers/reportExchange.ts
@@ -1,5 +1,6 @@
 /** Exchanges reports of crashes with a peer, those that either lacks. */
 import type { CrashReports, ReportMark } from '@cardamomladder/fleet';
+import { isCovered } from '@cardamomladder/fleet';
 import type { DecisionLog } from '../decisionLog';
 import { peerClient } from './client';
 import { reportAnswer } from './reportFormat';
@@ -15,9 +16,6 @@
   heard: ReportMark | undefined;
 }
 
-const isSame = (a: ReportMark | undefined, b: ReportMark | undefined): boolean =>
-  (a?.sequence ?? 0) === (b?.sequence ?? 0) && (a?.log === b?.log || !a?.sequence);
-
 /** What exchanging needs of the instance. */
 export interface ExchangeOptions {
   crashReports: Pick<CrashReports, 'mark' | 'after' | 'hear'>;
@@ -45,17 +43,17 @@
       reports: mine.reports,
     });
     const theirs = reportAnswer.parse(raw);
-    const before = crashReports.mark.sequence;
+    const isLatest = isCovered(crashReports.mark, mine.mark);
     crashReports.hear(theirs.reports, storeReached());
     // What was just heard of the peer need not go back to it.
-    const isLatest = mine.mark.sequence === before;
-    known.set(address, { told: isLatest ? crashReports.mark : mine.mark, heard: theirs.mark });
+    const hasNews = isLatest && !isCovered(crashReports.mark, mine.mark);
+    known.set(address, { told: hasNews ? crashReports.mark : mine.mark, heard: theirs.mark });
   };
 
   return async (address, theirs) => {
     const exchanged = known.get(address) ?? { told: undefined, heard: undefined };
-    const isCurrent = isSame(crashReports.mark, exchanged.told) && isSame(theirs, exchanged.heard);
-    if (isCurrent || underWay.has(address)) return;
+    const isTold = isCovered(crashReports.mark, exchanged.told);
+    if ((isTold && isCovered(theirs, exchanged.heard)) || underWay.has(address)) return;
     underWay.add(address);
     try {
       await exchange(address, exchanged);
