Short packed changes are unpacked at once, not on another thread

Part of it is the way to zlib's threads and back for each of two texts a second.

Ruled out: no packing below forty changes (they are most of the bytes).

--- a/packages/fleet/src/packedFacts.ts
+++ b/packages/fleet/src/packedFacts.ts
@@ -10,7 +10,7 @@
  * for all that ask from the same revision.
  */
 import { promisify } from 'node:util';
-import { deflateRaw, inflateRaw } from 'node:zlib';
+import { deflateRaw, inflateRaw, inflateRawSync } from 'node:zlib';
 import { LRUCache } from 'lru-cache';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { FactChange, FactList } from './facts';
@@ -40,9 +40,22 @@
 /** Packs changes. */
 export const packChanges = (changes: readonly FactChange[]): Promise<string> => pack(changes);
 
+/**
+ * Up to here a text is unpacked at once, bytes. Each follower does so twice a
+ * second; handing five changes to another thread and back costs 118 µs of
+ * processor time where unpacking them here costs 24 (40: 156 and 102). At this
+ * size it takes 1 ms.
+ */
+const AT_ONCE_BYTES = 16 * 1024;
+
+const unpackedBytes = (bytes: Buffer): Promise<Buffer> | Buffer => {
+  const limit = { maxOutputLength: UNPACKED_MOST_BYTES };
+  // eslint-disable-next-line n/no-sync -- short, and cheaper than the way to another thread
+  return bytes.length <= AT_ONCE_BYTES ? inflateRawSync(bytes, limit) : inflate(bytes, limit);
+};
+
 const parsed = async (packed: string): Promise<unknown> => {
-  const bytes = Buffer.from(packed, 'base64');
-  const text = await inflate(bytes, { maxOutputLength: UNPACKED_MOST_BYTES });
+  const text = await unpackedBytes(Buffer.from(packed, 'base64'));
   return JSON.parse(text.toString('utf8'));
 };
 
