One binary: it runs instances, and refuses what it does not know

Change: the command line is a value that the platform's folder adds `instance` to (what runs it is loaded by that command alone, since it takes over the signals); unknown commands and options are refused with the nearest one, missing arguments too, all with exit code 2. The program of the platform's machines is its own bundle as before. The processes test builds the binary from its new entry file.

--- a/packages/cli/src/__tests__/processes.test.ts
+++ b/packages/cli/src/__tests__/processes.test.ts
@@ -61,7 +61,7 @@
 beforeAll(async () => {
   if (!existsSync(BIN)) {
     await build({
-      entryPoints: [join(ROOT, 'packages/cli/src/main.ts')],
+      entryPoints: [join(ROOT, 'platform/src/binary.ts')],
       bundle: true,
       platform: 'node',
       target: 'node20',
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export { commandLine } from './commandLine';
+export { runCommandLine } from './runCommandLine';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,7 +7,7 @@
 // less of each start, and stack traces stay readable.
 import { build } from 'esbuild';
 
-const [entry = 'packages/cli/src/main.ts', outfile = 'dist/cardamomladder.cjs'] =
+const [entry = 'platform/src/binary.ts', outfile = 'dist/cardamomladder.cjs'] =
   process.argv.slice(2);
 
 await build({
