An older peer's answer without a mark of reports is taken as having none

Read as a newcomer: while versions are mixed, a peer of an older version gives no mark, which was logged as "peer did not answer" in every round. One error class for played calls in place of two.

--- a/packages/gateway/src/peers/__fixtures__/playedMembers.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedMembers.ts
@@ -26,6 +26,7 @@
 import { VouchedPeers, knownInstances } from '../vouched';
 import { followedFacts } from '../watch';
 import type { PlayedStore } from './playedStore';
+import { FailedCall } from './playedStore';
 
 /** Regions with their failure domains, by turns. */
 const PLACES = [
@@ -68,16 +69,7 @@
   };
 };
 
-/** A call that brought nothing; told apart from other errors by its kind. */
-class Unanswered extends Error {
-  constructor(
-    readonly kind: StoreFailure['kind'],
-    message: string,
-  ) {
-    super(message);
-  }
-}
-const gone = (reason: string): Unanswered => new Unanswered('unavailable', reason);
+const gone = (reason: string): FailedCall => new FailedCall('unavailable', reason);
 
 /** The members of one fleet. */
 export class PlayedMembers {
@@ -116,7 +108,7 @@
       watchPeer: (peer, revision, waitMs) =>
         ResultAsync.fromPromise(
           this.askChanges(member, peer, revision, waitMs),
-          (error) => error as Unanswered,
+          (error) => error as FailedCall,
         ),
       now,
       random: this.random,
@@ -197,7 +189,7 @@
       to.answers.changes(question),
     );
     const facts = await followedFacts(peer, answer);
-    if (facts.isErr()) throw new Unanswered(facts.error.kind, facts.error.message);
+    if (facts.isErr()) throw new FailedCall(facts.error.kind, facts.error.message);
     return facts.value;
   }
 }
--- a/packages/gateway/src/peers/__fixtures__/playedStore.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedStore.ts
@@ -18,7 +18,7 @@
 const LOOK_MS = 20;
 
 /** A call that failed; told apart from other errors by its kind. */
-class FailedCall extends Error {
+export class FailedCall extends Error {
   constructor(
     readonly kind: StoreFailure['kind'],
     message: string,
--- a/packages/gateway/src/peers/ask.ts
+++ b/packages/gateway/src/peers/ask.ts
@@ -79,7 +79,7 @@
       revision,
       asker: vouchFor(),
     });
-    exchangeReports(address, reports).catch((error: Error) => failed(error.message));
+    if (reports) exchangeReports(address, reports).catch((error: Error) => failed(error.message));
     if (packed === undefined) return known;
     const list = await unpackFacts(packed);
     return list.isOk() ? { ...known, list: list.value } : failed(list.error.message);
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -45,8 +45,8 @@
   changes?: FactChanges;
   /** All facts, packed. */
   packed?: string;
-  /** Up to where this instance has reports of crashes that the store may not have. */
-  reports: ReportMark;
+  /** Up to where this instance has reports of crashes that the store may not have; an older version does not say. */
+  reports?: ReportMark;
 }
 
 /** Changes for a peer that follows, packed or not, and how long ago the store was heard, ms. */
