--- a/packages/gateway/src/peers/__fixtures__/playedMembers.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedMembers.ts
@@ -10,7 +10,6 @@
   InstanceEntry,
   PeerAnswer,
   Registration,
-  StoreFailure,
 } from '@cardamomladder/fleet';
 import { Beliefs, follow, startRegistration, unpackFacts } from '@cardamomladder/fleet';
 import {
