What a target names as its limit is read and logged

The incident's hypotheses differ in whether instances know of a limit, and in which sends go past it; no line and no metric showed either. A target's statement of itself is read once, when its answer begins, whatever becomes of the answer: load and limit. Line target-limit: the limit, the one before, this instance's sends to the target of the last four seconds; gauge limited_targets. Nothing decides by it yet.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -12,6 +12,7 @@
   | 'answered'
   | 'send'
   | 'target-crashed'
+  | 'target-limit'
   | 'crash-report'
   | 'quarantine'
   | 'repeat-refused'
@@ -34,6 +35,7 @@
   answered: 1,
   send: 10,
   'target-crashed': 20,
+  'target-limit': 10,
   'crash-report': 10,
   quarantine: 10,
   'repeat-refused': 5,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -134,6 +134,7 @@
 ): Server =>
   createMetricsServer(metrics, () => {
     metrics.knownTargets.set(registry.size);
+    metrics.limitedTargets.set(registry.limited);
     metrics.knownInstances.set(beliefs.instances.size);
     metrics.configurationVersion.set(beliefs.configuration?.version ?? 0);
     metrics.logLinesDropped.set(linesDropped());
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -10,6 +10,7 @@
 import { CREDENTIALS_HEADER } from '../wireNames';
 import { passedHeaders } from './answers';
 import type { Serving } from './serving';
+import { hearStatement } from './targetStatements';
 import { learn } from './targetHealth';
 
 const spans = tracer('gateway');
@@ -73,6 +74,7 @@
   connections.closeStale(repeatable(request.route.kind) ? 'may-repeat' : 'at-most-once');
   const isCold = placed.coldUntil > sentAt;
   if (isCold) placed.coldSends.add(sentAt);
+  placed.limit.countSend(sentAt);
   serving.countSend(placed.id);
   const remembered = placed.objects.has(request.key);
   const sent = { remembered, busy: placed.load.busyAt(sentAt) };
@@ -92,6 +94,7 @@
     timeoutMs: request.finalAt - sentAt,
     connections,
     wire: ctx.wire,
+    heard: (statement, source) => hearStatement({ statement, source, sentAt }, placed, ctx),
   });
   serving.await(attempt);
   const outcome = attempt.outcome.then((result) => {
--- a/packages/gateway/src/targets/__fixtures__/send.ts
+++ b/packages/gateway/src/targets/__fixtures__/send.ts
@@ -16,7 +16,7 @@
   },
   credentialsOf: () => ({ kind: 'none' }),
   keyScheme: 'Key',
-  loadOf: () => undefined,
+  statementOf: () => ({}),
   readinessPath: '/ready',
   directoryQuestion: () => undefined,
   directoryAnswer: () => '',
@@ -35,4 +35,5 @@
     timeoutMs: 2000,
     connections,
     wire,
+    heard: () => {},
   });
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -6,7 +6,7 @@
  */
 import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request as httpRequest } from 'node:http';
-import type { HeaderNames, LoadReport, Wire } from '../wireNames';
+import type { HeaderNames, LoadReport, TargetStatement, Wire } from '../wireNames';
 import type { TargetConnections } from './connections';
 
 /** Time to open a connection, ms: over the way there and back between any two regions, well under a caller's patience. */
@@ -14,6 +14,9 @@
 /** Answers up to this size are read whole before the caller gets any of them, so that a cut one can be asked for again. */
 export const WHOLE_ANSWER_BYTES = 1024 * 1024;
 
+/** What an answer shows of its request: it ran, it did not, or nothing that is certain. */
+export type AnswerSource = 'run' | 'refusal' | 'garbled';
+
 /** What to send, and for how long to wait. */
 export interface AttemptRequest {
   host: string;
@@ -26,6 +29,8 @@
   timeoutMs: number;
   connections: TargetConnections;
   wire: Wire;
+  /** Called with what the target says of itself, as soon as an answer of its own begins, whatever becomes of the answer. */
+  heard: (statement: TargetStatement, answer: AnswerSource) => void;
 }
 
 /** Why a request surely did not run. */
@@ -122,18 +127,23 @@
   }
 
   const takeAnswer = (answer: IncomingMessage): void => {
-    const load = wire.loadOf(answer.headers);
+    const statement = wire.statementOf(answer.headers);
+    const { load } = statement;
     const notRun = refusal(answer, wire.headers, requestId);
     if (notRun) {
+      // A wrong target speaks for itself, not for the one that was meant.
+      if (notRun === 'rejected') options.heard(statement, 'refusal');
       answer.resume();
       answer.on('error', () => {});
       finish({ kind: 'not-run', reason: notRun, load });
       return;
     }
     if (!genuine(answer, wire.headers, requestId)) {
+      if (echoes(answer, wire.headers, requestId)) options.heard(statement, 'garbled');
       finish({ kind: 'lost', reason: 'garbled' });
       return;
     }
+    options.heard(statement, 'run');
     const status = answer.statusCode ?? 0;
     const chunks: Buffer[] = [];
     const isWhole = wholeCheck(answer);
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -143,6 +143,12 @@
     return this.targets.size;
   }
 
+  /** How many targets name a limit. */
+  get limited(): number {
+    return [...this.targets.values()].filter(({ placed }) => placed.limit.perSecond !== undefined)
+      .length;
+  }
+
   private coldShareOf(target: PlacedTarget): number {
     const { coldOverage, coldSlack } = this.options;
     const service = this.services.get(target.service);
--- a/packages/gateway/src/wireNames.ts
+++ b/packages/gateway/src/wireNames.ts
@@ -34,6 +34,13 @@
   slots: number;
 }
 
+/** What a target says of itself in an answer. */
+export interface TargetStatement {
+  load?: LoadReport;
+  /** Requests per second that it takes from all instances together; unset where it names no limit. */
+  limitPerSecond?: number;
+}
+
 /** Where a caller stands that asks the directory. */
 export interface DirectoryQuestion {
   failureDomain: string;
@@ -43,8 +50,8 @@
 /** How callers and targets speak. */
 export interface Wire {
   headers: HeaderNames;
-  /** Reads the load from an answer's headers. */
-  loadOf: (headers: IncomingHttpHeaders) => LoadReport | undefined;
+  /** Reads what a target says of itself from an answer's headers. */
+  statementOf: (headers: IncomingHttpHeaders) => TargetStatement;
   /** Reads the credentials from all the values that their header has in one request. */
   credentialsOf: (values: readonly string[]) => Credentials;
   /** Names the scheme of credentials to a caller without valid ones. */
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -14,6 +14,7 @@
 export { UsualPriority } from './placing/usualPriority';
 export { UnansweredSends } from './placing/unansweredSends';
 export { RollingCount } from './placing/rollingCount';
+export { NamedLimit } from './placing/namedLimit';
 export type { PlacedTarget, TargetFacts } from './placing/target';
 export { learnAnswerMs, newTarget } from './placing/target';
 export type { Placement, ServicePool } from './placing/pool';
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -4,6 +4,7 @@
  */
 import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
 import { Load } from './busyEstimate';
+import { NamedLimit } from './namedLimit';
 import { hashOf } from './rendezvous';
 import type { ReportFade } from './reportFade';
 import { RememberedObjects } from './rememberedObjects';
@@ -39,6 +40,8 @@
   objects: RememberedObjects;
   /** Sends of the last second while cold. */
   coldSends: RollingCount;
+  /** The limit that it names, if any. */
+  limit: NamedLimit;
   /** Smoothed time from send to answer for objects it remembers, ms; undefined before the first such answer. */
   answerMs?: number;
 }
@@ -76,6 +79,7 @@
   unanswered: new UnansweredSends(),
   objects: new RememberedObjects(),
   coldSends: new RollingCount(COLD_WINDOW_MS),
+  limit: new NamedLimit(),
 });
 
 /** True when a target has less than so many requests per slot, as far as known. */
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -27,6 +27,7 @@
   storeReached: Gauge;
   configurationVersion: Gauge;
   knownTargets: Gauge;
+  limitedTargets: Gauge;
   knownInstances: Gauge;
   logLinesDropped: Gauge;
   loopDelay: Gauge;
@@ -67,6 +68,7 @@
     storeReached: gauge('store_reached', '1 while the store answers this instance.'),
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force.'),
     knownTargets: gauge('known_targets', 'Targets in the registry.'),
+    limitedTargets: gauge('limited_targets', 'Targets that name a limit in their answers.'),
     knownInstances: gauge('known_instances', 'Instances in the registry, this one included.'),
     loopDelay: gauge('event_loop_delay_seconds', 'How late a timer of this instance last fired.'),
     logLinesDropped: gauge('log_lines_dropped', 'Log lines dropped as the reader was too slow.'),
