--- a/packages/customers/src/quota/floorShare.ts
+++ b/packages/customers/src/quota/floorShare.ts
@@ -1,5 +1,5 @@
 /** One instance's even share of what needs no lending. */
-import murmurhash from 'murmurhash';
+import { fleetRank } from '@cardamomladder/steering';
 import type { CustomerName, InstanceId } from '@cardamomladder/types';
 import type { RateLimit } from '../customer';
 
@@ -19,11 +19,6 @@
 ): RateLimit => {
   if (!holders.includes(self)) return NOTHING;
   const sharing = Math.max(1, Math.min(size, Math.floor(floor.burst)));
-  if (sharing < size) {
-    const place = (id: InstanceId) => murmurhash.v3(`${customer}|${id}`);
-    const mine = place(self);
-    const ahead = holders.filter((id) => id !== self && place(id) < mine).length;
-    if (ahead >= sharing) return NOTHING;
-  }
+  if (sharing < size && fleetRank(customer, self, holders) >= sharing) return NOTHING;
   return { perSecond: floor.perSecond / sharing, burst: floor.burst / sharing };
 };
--- a/packages/gateway/src/targets/__tests__/coldShares.test.ts
+++ b/packages/gateway/src/targets/__tests__/knownShares.test.ts
@@ -10,7 +10,7 @@
   targetId,
 } from '@cardamomladder/types';
 import { FleetMembers } from '../../lifecycle/fleetMembers';
-import { ColdShares } from '../coldShares';
+import { KnownShares } from '../knownShares';
 
 const TOLERATED = 13;
 const TARGET = targetId('t-1');
@@ -37,7 +37,10 @@
     beliefs.remove(keyOf(i), revision);
   };
   const members = new FleetMembers(beliefs, () => at);
-  const shares = new ColdShares('i-0', () => members.list());
+  const shares = new KnownShares(
+    () => members.list(),
+    (id, fleet, tolerated) => coldShare(id, 'i-0', fleet, tolerated),
+  );
   Array.from({ length: size }, (_, i) => join(i));
   const expected = () => coldShare(TARGET, 'i-0', members.list(), TOLERATED);
   const pass = (ms: number) => {
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -11,14 +11,21 @@
   Rankings,
   ReportFade,
   UsualPriority,
+  coldShare,
   newTarget,
 } from '@cardamomladder/steering';
-import type { FailureDomainName, RegionName, ServiceName, TargetId } from '@cardamomladder/types';
+import type {
+  FailureDomainName,
+  InstanceId,
+  RegionName,
+  ServiceName,
+  TargetId,
+} from '@cardamomladder/types';
 import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
-import { ColdShares } from './coldShares';
 import { TargetConnections } from './connections';
 import { IdleLimit } from './idleLimit';
+import { KnownShares } from './knownShares';
 import { compareRuns } from './runs';
 
 /** A target with its connections and address. */
@@ -93,7 +100,7 @@
 
   private readonly services = new Map<ServiceName, Service>();
 
-  private readonly coldShares: ColdShares;
+  private readonly coldShares: KnownShares<readonly InstanceId[], number>;
 
   private readonly demand: ReadonlyMap<RegionName, number>;
 
@@ -102,7 +109,10 @@
 
   constructor(private readonly options: TargetRegistryOptions) {
     this.demand = demandOf(options.domains);
-    this.coldShares = new ColdShares(options.self, () => options.fleet.list());
+    this.coldShares = new KnownShares(
+      () => options.fleet.list(),
+      (id, fleet, tolerated) => coldShare(id, options.self, fleet, tolerated),
+    );
     options.beliefs.changes.subscribe((change) => this.take(change));
   }
 
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -7,6 +7,7 @@
 export { Load } from './placing/busyEstimate';
 export { ReportFade } from './placing/reportFade';
 export { coldShare } from './placing/coldAllowance';
+export { fleetRank } from './placing/fleetRank';
 export type { LongestKnown } from './placing/longestAnswer';
 export { LongestAnswer, overdueAfter } from './placing/longestAnswer';
 export type { RepeatBound } from './placing/repeatBudget';
--- a/packages/steering/src/placing/coldAllowance.ts
+++ b/packages/steering/src/placing/coldAllowance.ts
@@ -6,7 +6,7 @@
  * division's remainder goes to the instances that rank first for the target,
  * so that a fleet larger than the bound still warms each target up.
  */
-import murmurhash from 'murmurhash';
+import { fleetRank } from './fleetRank';
 
 /** Part of the tolerated rate that is used; the rest covers instances that count the fleet differently. */
 export const COLD_RATE_USED = 0.9;
@@ -22,8 +22,5 @@
   const fleet = Math.max(1, instances.length);
   const base = Math.floor(budget / fleet);
   const remainder = budget - base * fleet;
-  const place = (id: string) => murmurhash.v3(`${targetId}|${id}`);
-  const mine = place(self);
-  const ahead = instances.filter((id) => id !== self && place(id) < mine).length;
-  return base + (ahead < remainder ? 1 : 0);
+  return base + (fleetRank(targetId, self, instances) < remainder ? 1 : 0);
 };
