A target that names a limit gets no more than it allows, from all instances together

What callers and operators saw: targets in need named some requests a second in their answers and got as many as before: 82 requests in 4 s, 32 allowed.

Cause: no decision used what an answer says of its target but the load. Class: a target's word on itself is read in one kind of answer, for one purpose, by one instance.

Change: an instance keeps a pace of its own, and the paces sum to the limit whatever the others do (limitShare; no message, so it holds in cuts). In fleets so large that one request of each idle instance would exceed what is tolerated, some share the limit, others for each target; the rest send one now and then. Place in the pace is taken when a target is chosen, as others may be placed before the send. Where all targets ask for a pause, the caller is refused at once and told when the first takes requests again.

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -41,11 +41,12 @@
   });
 };
 
-const registryOf = ({ settings, beliefs, fleet, self, now }: Parts): TargetRegistry => {
+const registryOf = ({ settings, beliefs, fleet, named, self, now }: Parts): TargetRegistry => {
   const { failureDomains, bounds } = settings();
   return new TargetRegistry({
     beliefs,
     fleet,
+    named,
     ownRegion: self.region,
     ownDomain: self.failureDomain,
     domains: failureDomains,
@@ -99,13 +100,14 @@
 const MS_PER_SECOND = 1000;
 
 const quotasOf = (
-  { settings, self, beliefs, log, now }: Parts,
+  { settings, self, beliefs, named, log, now }: Parts,
   { storeHeardMsAgo }: Follower,
 ): Quotas => {
   const { quotaWindowSeconds, quotaOverage, quotaSlack } = settings().bounds;
   return startQuotas({
     self: self.id,
     beliefs,
+    named,
     tolerance: {
       windowMs: quotaWindowSeconds * MS_PER_SECOND,
       overage: quotaOverage,
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from './decisionLog';
 import { decisionLog } from './decisionLog';
 import { FleetMembers } from './lifecycle/fleetMembers';
+import { NamedInstances } from './lifecycle/namedInstances';
 import type { Phase } from './lifecycle/phase';
 import { startPhase } from './lifecycle/phase';
 import { askPeers, askSnapshot } from './peers/ask';
@@ -33,6 +34,8 @@
   self: InstanceEntry;
   vouched: VouchedPeers;
   fleet: FleetMembers;
+  /** The instances that callers are sent to. */
+  named: NamedInstances;
   /** Requests kept from targets, as they crash them. */
   quarantine: Quarantine;
   answeredLately: AnsweredLately;
@@ -120,6 +123,7 @@
     self: entryOf(settings()),
     vouched,
     fleet,
+    named: new NamedInstances(beliefs, now),
     quarantine,
     answeredLately: new AnsweredLately(now),
     crashReports: crashReportsOf({ store, beliefs, fleet, log, now }, quarantine),
--- a/packages/gateway/src/quota/quotas.ts
+++ b/packages/gateway/src/quota/quotas.ts
@@ -4,7 +4,8 @@
 import type { Beliefs, InstanceEntry } from '@cardamomladder/fleet';
 import type { InstanceId } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
-import { NamedInstances, namedIn } from '../lifecycle/namedInstances';
+import type { NamedInstances } from '../lifecycle/namedInstances';
+import { namedIn } from '../lifecycle/namedInstances';
 import type { TokenAnswer, TokenQuestion } from './tokenFormat';
 import { startTokenRounds } from './tokenRounds';
 
@@ -12,6 +13,8 @@
 export interface QuotaOptions {
   self: InstanceId;
   beliefs: Beliefs;
+  /** The instances that callers are sent to. */
+  named: Pick<NamedInstances, 'holders'>;
   tolerance: QuotaTolerance;
   /** How long ago the store was last heard, itself or through a relay, ms. */
   storeHeardMsAgo: () => number;
@@ -49,8 +52,7 @@
 
 /** Starts an instance's quotas. */
 export const startQuotas = (options: QuotaOptions): Quotas => {
-  const { self, beliefs, tolerance, storeHeardMsAgo, log, now } = options;
-  const named = new NamedInstances(beliefs, now);
+  const { self, beliefs, named, tolerance, storeHeardMsAgo, log, now } = options;
   let keepers = keepersOf(options);
   const allowances = new Allowances({
     self,
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -74,7 +74,6 @@
   connections.closeStale(repeatable(request.route.kind) ? 'may-repeat' : 'at-most-once');
   const isCold = placed.coldUntil > sentAt;
   if (isCold) placed.coldSends.add(sentAt);
-  placed.limit.countSend(sentAt);
   serving.countSend(placed.id);
   const remembered = placed.objects.has(request.key);
   const sent = { remembered, busy: placed.load.busyAt(sentAt) };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -44,6 +44,18 @@
   );
 };
 
+/**
+ * Takes the place in a limited target's pace when the target is chosen: until
+ * the request is sent, others may be placed.
+ */
+const claim = (
+  target: ReachableTarget | undefined,
+  { ctx }: Serving,
+): ReachableTarget | undefined => {
+  target?.placed.limit.take(ctx.now());
+  return target;
+};
+
 /** The target of one more send, if the request, its time and the budget allow one. */
 const nextTarget = (serving: Serving, outcome: AttemptOutcome): ReachableTarget | undefined => {
   const { request, ctx, sends } = serving;
@@ -59,7 +71,7 @@
     target && (free || ctx.budgetOf(request.service).spend(ctx.now(), ctx.fleetSize()));
   ctx.metrics.repeats.inc({ granted: granted ? 'yes' : 'no' });
   if (!granted) ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
-  return granted ? target : undefined;
+  return granted ? claim(target, serving) : undefined;
 };
 
 const SILENT: AttemptOutcome = { kind: 'lost', reason: 'timeout' };
@@ -156,7 +168,7 @@
   if (serving.quarantined) return reject(serving, 'quarantined', TRY_AGAIN_MS);
   const choice = choose(serving);
   if (choice.kind === 'rejected') return reject(serving, choice.reason, choice.retryAfterMs);
-  let target = serving.ctx.registry.reach(choice.target.id);
+  let target = claim(serving.ctx.registry.reach(choice.target.id), serving);
   let mayHaveRun = false;
   let failure: TargetAnswer | undefined;
   while (target) {
--- a/packages/gateway/src/targets/__tests__/registry.test.ts
+++ b/packages/gateway/src/targets/__tests__/registry.test.ts
@@ -11,6 +11,7 @@
   targetId,
 } from '@cardamomladder/types';
 import { FleetMembers } from '../../lifecycle/fleetMembers';
+import { NamedInstances } from '../../lifecycle/namedInstances';
 import { TargetRegistry } from '../registry';
 import { compareRuns } from '../runs';
 
@@ -32,6 +33,7 @@
   const registry = new TargetRegistry({
     beliefs,
     fleet: new FleetMembers(beliefs, now),
+    named: new NamedInstances(beliefs, now),
     ownRegion: regionName('north'),
     ownDomain: failureDomainName('north-a'),
     self: 'i-1',
@@ -49,7 +51,11 @@
     revision += 1;
     beliefs.take({ key: `t/${ID}`, revision, fact: { kind: 'invalid', problem: 'not JSON' } });
   };
-  return { registry, put, spoil };
+  const remove = () => {
+    revision += 1;
+    beliefs.take({ key: `t/${ID}`, revision, removed: true });
+  };
+  return { registry, put, spoil, remove };
 };
 
 describe('a target that starts again under its id', () => {
@@ -106,6 +112,33 @@
   });
 });
 
+describe('what a target said of itself', () => {
+  const nameLimit = (registry: TargetRegistry) =>
+    registry.reach(ID)!.placed.limit.hear({ perSecond: 4, ran: true, sentAt: 0 }, 1000);
+
+  it('holds on while its entry is away, for the same run', () => {
+    // Guards against a limit that is forgotten when an entry lapses and comes back.
+    const { registry, put, remove } = setUp();
+    put(entryOf({ startedAt: 100 }));
+    nameLimit(registry);
+    remove();
+    expect(registry.reach(ID)).toBeUndefined();
+    put(entryOf({ startedAt: 100, writes: 6 }));
+    expect(registry.reach(ID)!.placed.limit.perSecond).toBe(4);
+    remove();
+    put(entryOf({ startedAt: 200, writes: 1 }));
+    expect(registry.reach(ID)!.placed.limit.perSecond).toBeUndefined();
+  });
+
+  it('does not hold for a later run under its id', () => {
+    const { registry, put } = setUp();
+    put(entryOf({ startedAt: 100 }));
+    nameLimit(registry);
+    put(entryOf({ startedAt: 200, writes: 1 }));
+    expect(registry.reach(ID)!.placed.limit.perSecond).toBeUndefined();
+  });
+});
+
 describe('an entry of another writer', () => {
   it('names no target, and takes away the one that stood under its key', () => {
     const { registry, put, spoil } = setUp();
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -2,9 +2,10 @@
  * The targets this instance may send to: what the registry says of them, what
  * their answers taught, and their connections. Follows beliefs.
  */
+import type { FloorHolders } from '@cardamomladder/customers';
 import type { Beliefs, BeliefChange, TargetEntry } from '@cardamomladder/fleet';
 import type { Configuration, Service } from '@cardamomladder/routing';
-import type { PlacedTarget, ServicePool } from '@cardamomladder/steering';
+import type { LimitShare, PlacedTarget, ServicePool } from '@cardamomladder/steering';
 import {
   HelpAbroad,
   LongestAnswer,
@@ -12,6 +13,7 @@
   ReportFade,
   UsualPriority,
   coldShare,
+  limitShare,
   newTarget,
 } from '@cardamomladder/steering';
 import type {
@@ -23,9 +25,11 @@
 } from '@cardamomladder/types';
 import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
+import type { NamedInstances } from '../lifecycle/namedInstances';
 import { TargetConnections } from './connections';
 import { IdleLimit } from './idleLimit';
 import { KnownShares } from './knownShares';
+import { LapsedTargets } from './lapsedTargets';
 import { compareRuns } from './runs';
 
 /** A target with its connections and address. */
@@ -59,6 +63,8 @@
   /** Region of each failure domain. */
   domains: Readonly<Record<string, string>>;
   fleet: FleetMembers;
+  /** The instances that callers are sent to, which share the targets' limits. */
+  named: Pick<NamedInstances, 'holders'>;
   coldOverage: number;
   coldSlack: number;
   now: () => number;
@@ -102,6 +108,10 @@
 
   private readonly coldShares: KnownShares<readonly InstanceId[], number>;
 
+  private readonly limitShares: KnownShares<FloorHolders, LimitShare>;
+
+  private readonly lapsed: LapsedTargets;
+
   private readonly demand: ReadonlyMap<RegionName, number>;
 
   /** When each failure domain's last evacuation ended. */
@@ -109,10 +119,15 @@
 
   constructor(private readonly options: TargetRegistryOptions) {
     this.demand = demandOf(options.domains);
+    this.lapsed = new LapsedTargets(options.now);
     this.coldShares = new KnownShares(
       () => options.fleet.list(),
       (id, fleet, tolerated) => coldShare(id, options.self, fleet, tolerated),
     );
+    this.limitShares = new KnownShares(
+      () => options.named.holders(),
+      (id, sharers, perSecond) => limitShare(id, options.self, sharers, perSecond),
+    );
     options.beliefs.changes.subscribe((change) => this.take(change));
   }
 
@@ -137,6 +152,7 @@
         helpAbroad: new HelpAbroad(),
         evacuated: (failureDomain) => beliefs.evacuated.has(failureDomain),
         coldShare: (target) => this.coldShareOf(target),
+        limitShare: ({ id }, perSecond) => this.limitShares.of(id, perSecond),
       },
     };
     this.pools.set(service, created);
@@ -168,7 +184,7 @@
 
   private take(change: BeliefChange): void {
     if (change.kind === 'target') this.put(change.target);
-    if (change.kind === 'target-gone') this.drop(change.id);
+    if (change.kind === 'target-gone') this.lapse(change.id);
     if (change.kind === 'configuration') this.takeServices(change.configuration);
     if (change.kind === 'evacuation') {
       this.pools.forEach(({ pool }) => Object.assign(pool, { generation: pool.generation + 1 }));
@@ -229,6 +245,8 @@
       },
       this.of(entry.service).reportFade,
     );
+    const before = this.lapsed.take(entry);
+    if (before) placed.limit = before.limit;
     const target: ReachableTarget = {
       placed,
       entry,
@@ -240,6 +258,12 @@
     return target;
   }
 
+  private lapse(id: TargetId): void {
+    const target = this.targets.get(id);
+    if (target) this.lapsed.note(target.entry, target.placed);
+    this.drop(id);
+  }
+
   private drop(id: TargetId): void {
     const target = this.targets.get(id);
     if (!target) return;
@@ -249,6 +273,7 @@
     this.opened.get(id)?.closeIdleOver(0);
     this.opened.delete(id);
     this.coldShares.drop(id);
+    this.limitShares.drop(id);
   }
 
   private connectionsTo({ id, service }: TargetEntry): TargetConnections {
--- a/packages/load/src/player/play.ts
+++ b/packages/load/src/player/play.ts
@@ -168,6 +168,7 @@
         helpAbroad: new HelpAbroad(),
         evacuated: () => false,
         coldShare: () => 1,
+        limitShare: () => ({ intervalMs: 0, phase: 0 }),
       },
     })),
   );
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -15,6 +15,8 @@
 export { UsualPriority } from './placing/usualPriority';
 export { UnansweredSends } from './placing/unansweredSends';
 export { RollingCount } from './placing/rollingCount';
+export type { LimitShare, Sharers } from './placing/limitShare';
+export { limitShare } from './placing/limitShare';
 export { NamedLimit } from './placing/namedLimit';
 export type { PlacedTarget, TargetFacts } from './placing/target';
 export { learnAnswerMs, newTarget } from './placing/target';
--- a/packages/steering/src/placing/__tests__/place.test.ts
+++ b/packages/steering/src/placing/__tests__/place.test.ts
@@ -44,6 +44,7 @@
   helpAbroad: new HelpAbroad(),
   evacuated: () => false,
   coldShare: () => 0,
+  limitShare: () => ({ intervalMs: 1000, phase: 1 }),
   ...changes,
 });
 const sixTargets = () =>
--- a/packages/steering/src/placing/choices.ts
+++ b/packages/steering/src/placing/choices.ts
@@ -1,6 +1,6 @@
 /** Which targets may take a request, and in which parts. */
 import type { Placement, ServicePool } from './pool';
-import { usable } from './pool';
+import { heldBackMs, usable } from './pool';
 import type { Rankings } from './rankings';
 import type { PlacedTarget } from './target';
 import { hasRoom } from './target';
@@ -12,13 +12,17 @@
 /** How many cold targets of an object's ranking may serve it. */
 const COLD_CHOICES = 2;
 
-const admissible = (target: PlacedTarget, pool: ServicePool, request: Placement): boolean =>
+/** True when nothing but the target's own word may keep the request from it. */
+const eligible = (target: PlacedTarget, pool: ServicePool, request: Placement): boolean =>
   usable(target, pool) &&
   target.avoidUntil <= request.now &&
   !target.unanswered.silentAt(request.now) &&
   !request.tried.has(target.id) &&
   (request.homeRegions.length === 0 || request.homeRegions.includes(target.region));
 
+const admissible = (target: PlacedTarget, pool: ServicePool, request: Placement): boolean =>
+  eligible(target, pool, request) && heldBackMs(target, pool, request.now) === 0;
+
 const isCold = (target: PlacedTarget, now: number): boolean => target.coldUntil > now;
 
 /** The warm targets of an object: its first, the next one, and the next one in another region. */
@@ -96,3 +100,12 @@
     COLD_CHOICES,
     (target) => admissible(target, pool, request) && isCold(target, request.now),
   );
+
+/** When the first of the targets takes requests again that ask for a pause, ms; undefined where none does. */
+export const soonestMs = (request: Placement, pool: ServicePool): number | undefined => {
+  const waits = pool.targets
+    .filter((target) => eligible(target, pool, request))
+    .map((target) => heldBackMs(target, pool, request.now))
+    .filter((ms) => ms > 0);
+  return waits.length === 0 ? undefined : Math.min(...waits);
+};
--- a/packages/steering/src/placing/describe.ts
+++ b/packages/steering/src/placing/describe.ts
@@ -2,6 +2,7 @@
 import type { ObjectKey } from '@cardamomladder/types';
 import type { Locality } from './homeShares';
 import type { ServicePool } from './pool';
+import { heldBackMs } from './pool';
 import type { Rankings } from './rankings';
 import type { PlacedTarget } from './target';
 
@@ -18,13 +19,16 @@
   usualMs?: number;
   reportAgeMs?: number;
   /** Why it was out of the question, if it was. */
-  out?: 'leaving' | 'evacuated' | 'avoided' | 'cold';
+  out?: 'leaving' | 'evacuated' | 'avoided' | 'held-back' | 'cold';
+  /** Requests per second that it takes from all instances together, where it names a limit. */
+  limitPerSecond?: number;
 }
 
 const reasonOut = (target: PlacedTarget, pool: ServicePool, now: number): SeenTarget['out'] => {
   if (target.leaving) return 'leaving';
   if (pool.evacuated(target.failureDomain)) return 'evacuated';
   if (target.avoidUntil > now) return 'avoided';
+  if (heldBackMs(target, pool, now) > 0) return 'held-back';
   return target.coldUntil > now ? 'cold' : undefined;
 };
 
@@ -47,4 +51,5 @@
       reportAgeMs:
         target.load.reportedAt === undefined ? undefined : Math.round(now - target.load.reportedAt),
       out: reasonOut(target, pool, now),
+      limitPerSecond: target.limit.perSecond,
     }));
--- a/packages/steering/src/placing/namedLimit.ts
+++ b/packages/steering/src/placing/namedLimit.ts
@@ -2,6 +2,7 @@
  * The limit that a target in need names in its answers: how many requests a
  * second it takes from all instances together, for as long as it says so.
  */
+import type { LimitShare } from './limitShare';
 import { RollingCount } from './rollingCount';
 
 /** Sends are counted over this time, ms. */
@@ -23,6 +24,12 @@
 
   private heardAt = -Infinity;
 
+  /** When the pace began, or the last request went by it. */
+  private pacedAt = -Infinity;
+
+  /** True until the first request has gone since the limit was named. */
+  private begins = false;
+
   private readonly sends = new RollingCount(COUNTED_MS);
 
   /** Requests per second that the target takes from all instances; undefined while it names no limit. */
@@ -34,6 +41,7 @@
   hear({ perSecond, ran, sentAt }: HeardLimit, now: number): boolean {
     const before = this.named;
     if (perSecond !== undefined) {
+      if (before === undefined) this.begin(now);
       this.heardAt = now;
       this.named = perSecond;
     } else if (ran && sentAt >= this.heardAt) {
@@ -43,13 +51,27 @@
     return this.named !== before;
   }
 
-  /** Counts a send to the target. */
-  countSend(now: number): void {
+  /** How long a request has to wait by this instance's share, ms; 0 when it may go at once. */
+  waitMs({ intervalMs, phase }: LimitShare, now: number): number {
+    if (this.named === undefined) return 0;
+    const pauseMs = this.begins ? intervalMs * phase : intervalMs;
+    return Math.max(0, this.pacedAt + pauseMs - now);
+  }
+
+  /** Takes a place in the pace for a request that goes to the target. */
+  take(now: number): void {
     this.sends.add(now);
+    this.pacedAt = now;
+    this.begins = false;
   }
 
   /** This instance's sends of the last four seconds. */
   sentLately(now: number): number {
     return this.sends.total(now);
   }
+
+  private begin(now: number): void {
+    this.pacedAt = now;
+    this.begins = true;
+  }
 }
--- a/packages/steering/src/placing/place.ts
+++ b/packages/steering/src/placing/place.ts
@@ -10,7 +10,7 @@
  * helps it out, keeps memories warm, and refusing the rest keeps queues short.
  */
 import type { WarmTargets } from './choices';
-import { coldChoices, warmChoices } from './choices';
+import { coldChoices, soonestMs, warmChoices } from './choices';
 import type { Placement, ServicePool } from './pool';
 import { queuePerSlot } from './queueLimit';
 import type { Rankings } from './rankings';
@@ -35,8 +35,11 @@
 /** The same when no target exists at all: the registry needs about this long to change. */
 export const NO_TARGET_RETRY_AFTER_MS = 500;
 
+/** Nobody is told to come back sooner than this, ms: about the way there and back between regions. */
+const LEAST_RETRY_AFTER_MS = 50;
+
 /** Why no target was chosen. */
-export type RejectionReason = 'no-target' | 'full' | 'cold';
+export type RejectionReason = 'no-target' | 'full' | 'cold' | 'held-back';
 
 /** The outcome of placing one request. */
 export type PlacementOutcome =
@@ -69,6 +72,18 @@
   return second && canHelp(second, request) ? second : undefined;
 };
 
+/** No target may take the request now; where some only ask for a pause, its caller comes back after the shortest. */
+const rejectWithoutTarget = (request: Placement, pool: ServicePool): PlacementOutcome => {
+  const heldBack = soonestMs(request, pool);
+  return heldBack === undefined
+    ? { kind: 'rejected', reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS }
+    : {
+        kind: 'rejected',
+        reason: 'held-back',
+        retryAfterMs: Math.max(heldBack, LEAST_RETRY_AFTER_MS),
+      };
+};
+
 /** Chooses the target for one request of the pool's service. */
 export const place = (
   request: Placement,
@@ -82,8 +97,7 @@
   const cold = coldChoices(request, pool, rankings);
   const coldOne = cold.find((t) => hasRoom(t, HELP_NEW_PER_SLOT, now) && coldRoom(t, pool, now));
   if (coldOne) return { kind: 'placed', target: coldOne };
-  if (!warm.first && cold.length === 0)
-    return { kind: 'rejected', reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS };
+  if (!warm.first && cold.length === 0) return rejectWithoutTarget(request, pool);
   return {
     kind: 'rejected',
     reason: warm.first ? 'full' : 'cold',
--- a/packages/steering/src/placing/pool.ts
+++ b/packages/steering/src/placing/pool.ts
@@ -2,6 +2,7 @@
 import type { FailureDomainName, ObjectKey, RegionName, TargetId } from '@cardamomladder/types';
 import type { HelpAbroad } from './helpAbroad';
 import type { Locality } from './homeShares';
+import type { LimitShare } from './limitShare';
 import type { PlacedTarget } from './target';
 
 /** What one request asks of placing. */
@@ -38,8 +39,17 @@
   evacuated: (failureDomain: FailureDomainName) => boolean;
   /** Requests per second this instance may send to the target while it is cold. */
   coldShare: (target: PlacedTarget) => number;
+  /** This instance's share of a limit of so many requests per second that the target names. */
+  limitShare: (target: PlacedTarget, perSecond: number) => LimitShare;
 }
 
 /** True while a target may get work at all. */
 export const usable = (target: PlacedTarget, pool: ServicePool): boolean =>
   !target.leaving && !pool.evacuated(target.failureDomain);
+
+/** How long what the target said of itself keeps requests from it, ms; 0 when one may go at once. */
+export const heldBackMs = (target: PlacedTarget, pool: ServicePool, now: number): number => {
+  const { limit } = target;
+  if (limit.perSecond === undefined) return 0;
+  return limit.waitMs(pool.limitShare(target, limit.perSecond), now);
+};
