--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -12,7 +12,9 @@
   | 'answered'
   | 'send'
   | 'target-crashed'
+  | 'target-leaving'
   | 'target-limit'
+  | 'target-rest'
   | 'crash-report'
   | 'quarantine'
   | 'repeat-refused'
@@ -35,7 +37,9 @@
   answered: 1,
   send: 10,
   'target-crashed': 20,
+  'target-leaving': 10,
   'target-limit': 10,
+  'target-rest': 10,
   'crash-report': 10,
   quarantine: 10,
   'repeat-refused': 5,
--- a/packages/gateway/src/requests/targetStatements.ts
+++ b/packages/gateway/src/requests/targetStatements.ts
@@ -1,5 +1,5 @@
 /** Takes what targets say of themselves in their answers. */
-import type { PlacedTarget } from '@cardamomladder/steering';
+import type { HeardLimit, PlacedTarget } from '@cardamomladder/steering';
 import type { AnswerSource } from '../targets/attempt';
 import type { TargetStatement } from '../wireNames';
 import type { ServeContext } from './serving';
@@ -12,15 +12,15 @@
   sentAt: number;
 }
 
-/** Takes a statement of a target; what it changes is logged. */
-export const hearStatement = (
-  { statement, source, sentAt }: HeardStatement,
+type HearContext = Pick<ServeContext, 'log' | 'now'>;
+
+const hearLimit = (
+  heard: HeardLimit,
   { id, limit }: PlacedTarget,
-  { log, now }: Pick<ServeContext, 'log' | 'now'>,
+  { log, now }: HearContext,
 ): void => {
-  const perSecond = statement.limitPerSecond;
   const before = limit.perSecond;
-  if (!limit.hear({ perSecond, ran: source === 'run', sentAt }, now())) return;
+  if (!limit.hear(heard, now())) return;
   log.write('target-limit', undefined, {
     target: id,
     perSecond: limit.perSecond,
@@ -28,3 +28,25 @@
     sentLately: limit.sentLately(now()),
   });
 };
+
+const hearLeaving = (target: PlacedTarget, { log }: HearContext): void => {
+  if (target.saidLeaving) return;
+  target.saidLeaving = true;
+  log.write('target-leaving', undefined, { target: target.id, believedLeaving: target.leaving });
+};
+
+const hearRest = (restMs: number, { id, limit }: PlacedTarget, { log, now }: HearContext): void => {
+  log.write('target-rest', undefined, { target: id, restMs, sentLately: limit.sentLately(now()) });
+};
+
+/** Takes a statement of a target; what it changes is logged. */
+export const hearStatement = (
+  { statement, source, sentAt }: HeardStatement,
+  target: PlacedTarget,
+  ctx: HearContext,
+): void => {
+  const { leaving, restMs, limitPerSecond: perSecond } = statement;
+  hearLimit({ perSecond, ran: source === 'run', sentAt }, target, ctx);
+  if (leaving) hearLeaving(target, ctx);
+  if (restMs !== undefined) hearRest(restMs, target, ctx);
+};
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -127,7 +127,7 @@
   }
 
   const takeAnswer = (answer: IncomingMessage): void => {
-    const statement = wire.statementOf(answer.headers);
+    const statement = wire.statementOf(answer.statusCode ?? 0, answer.headers);
     const { load } = statement;
     const notRun = refusal(answer, wire.headers, requestId);
     if (notRun) {
--- a/packages/gateway/src/wireNames.ts
+++ b/packages/gateway/src/wireNames.ts
@@ -39,6 +39,9 @@
   load?: LoadReport;
   /** Requests per second that it takes from all instances together; unset where it names no limit. */
   limitPerSecond?: number;
+  leaving?: boolean;
+  /** For how long it wants no requests from this instance, ms; only refusals say so. */
+  restMs?: number;
 }
 
 /** Where a caller stands that asks the directory. */
@@ -50,8 +53,8 @@
 /** How callers and targets speak. */
 export interface Wire {
   headers: HeaderNames;
-  /** Reads what a target says of itself from an answer's headers. */
-  statementOf: (headers: IncomingHttpHeaders) => TargetStatement;
+  /** Reads what a target says of itself from an answer's status and headers. */
+  statementOf: (status: number, headers: IncomingHttpHeaders) => TargetStatement;
   /** Reads the credentials from all the values that their header has in one request. */
   credentialsOf: (values: readonly string[]) => Credentials;
   /** Names the scheme of credentials to a caller without valid ones. */
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -17,6 +17,7 @@
 export { RollingCount } from './placing/rollingCount';
 export type { LimitShare, Sharers } from './placing/limitShare';
 export { limitShare } from './placing/limitShare';
+export type { HeardLimit } from './placing/namedLimit';
 export { NamedLimit } from './placing/namedLimit';
 export type { PlacedTarget, TargetFacts } from './placing/target';
 export { learnAnswerMs, newTarget } from './placing/target';
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -27,6 +27,8 @@
   hash: Uint8Array;
   /** Leaving: gets no new work. */
   leaving: boolean;
+  /** Said in its own answers that it leaves; holds for as long as it runs. */
+  saidLeaving: boolean;
   /** Cold until then: gets no more than its cold share. */
   coldUntil: number;
   /** Not chosen before then: it failed or could not be reached. */
@@ -72,6 +74,7 @@
   ...facts,
   hash: hashOf(facts.id),
   leaving: false,
+  saidLeaving: false,
   coldUntil: 0,
   avoidUntil: 0,
   failures: 0,
