A target that says in its answers that it leaves gets no new requests

Cause: leaving was learned from the store alone, directly, through a relay or a peer. Class: as for limits, a target's word on itself was read for one purpose only. Ruled out by the line target-leaving: that it had been read and forgotten (nothing used it); by the trace: that requests had waited (2 ms from the caller's send to the target).

What a target said of itself is one record that outlives a lapse of its entry and the sends that were under way then; an entry that says ready does not put the target back, a later run does.

--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -52,7 +52,7 @@
   target: ReachableTarget | undefined,
   { ctx }: Serving,
 ): ReachableTarget | undefined => {
-  target?.placed.limit.take(ctx.now());
+  target?.placed.selfReport.limit.take(ctx.now());
   return target;
 };
 
--- a/packages/gateway/src/requests/targetStatements.ts
+++ b/packages/gateway/src/requests/targetStatements.ts
@@ -12,13 +12,14 @@
   sentAt: number;
 }
 
-type HearContext = Pick<ServeContext, 'log' | 'now'>;
+type HearContext = Pick<ServeContext, 'registry' | 'log' | 'now'>;
 
 const hearLimit = (
   heard: HeardLimit,
-  { id, limit }: PlacedTarget,
+  { id, selfReport }: PlacedTarget,
   { log, now }: HearContext,
 ): void => {
+  const { limit } = selfReport;
   const before = limit.perSecond;
   if (!limit.hear(heard, now())) return;
   log.write('target-limit', undefined, {
@@ -29,14 +30,18 @@
   });
 };
 
-const hearLeaving = (target: PlacedTarget, { log }: HearContext): void => {
-  if (target.saidLeaving) return;
-  target.saidLeaving = true;
+const hearLeaving = (target: PlacedTarget, { registry, log }: HearContext): void => {
+  if (!registry.takeLeaving(target)) return;
   log.write('target-leaving', undefined, { target: target.id, believedLeaving: target.leaving });
 };
 
-const hearRest = (restMs: number, { id, limit }: PlacedTarget, { log, now }: HearContext): void => {
-  log.write('target-rest', undefined, { target: id, restMs, sentLately: limit.sentLately(now()) });
+const hearRest = (
+  restMs: number,
+  { id, selfReport }: PlacedTarget,
+  { log, now }: HearContext,
+): void => {
+  const sentLately = selfReport.limit.sentLately(now());
+  log.write('target-rest', undefined, { target: id, restMs, sentLately });
 };
 
 /** Takes a statement of a target; what it changes is logged. */
--- a/packages/gateway/src/targets/__tests__/registry.test.ts
+++ b/packages/gateway/src/targets/__tests__/registry.test.ts
@@ -114,7 +114,7 @@
 
 describe('what a target said of itself', () => {
   const nameLimit = (registry: TargetRegistry) =>
-    registry.reach(ID)!.placed.limit.hear({ perSecond: 4, ran: true, sentAt: 0 }, 1000);
+    registry.reach(ID)!.placed.selfReport.limit.hear({ perSecond: 4, ran: true, sentAt: 0 }, 1000);
 
   it('holds on while its entry is away, for the same run', () => {
     // Guards against a limit that is forgotten when an entry lapses and comes back.
@@ -124,10 +124,28 @@
     remove();
     expect(registry.reach(ID)).toBeUndefined();
     put(entryOf({ startedAt: 100, writes: 6 }));
-    expect(registry.reach(ID)!.placed.limit.perSecond).toBe(4);
+    expect(registry.reach(ID)!.placed.selfReport.limit.perSecond).toBe(4);
     remove();
     put(entryOf({ startedAt: 200, writes: 1 }));
-    expect(registry.reach(ID)!.placed.limit.perSecond).toBeUndefined();
+    expect(registry.reach(ID)!.placed.selfReport.limit.perSecond).toBeUndefined();
+  });
+
+  it('of leaving holds whatever its entry says of the same run', () => {
+    // Guards against an entry that was written before the target said so, and puts it back.
+    const { registry, put, remove } = setUp();
+    put(entryOf({ startedAt: 100 }));
+    const { pool } = registry.of(serviceName('s'));
+    const { generation } = pool;
+    expect(registry.takeLeaving(registry.reach(ID)!.placed)).toBe(true);
+    expect(registry.takeLeaving(registry.reach(ID)!.placed)).toBe(false);
+    expect(pool.generation).toBeGreaterThan(generation);
+    put(entryOf({ startedAt: 100, writes: 6 }));
+    expect(registry.reach(ID)!.placed.selfReport.leaving).toBe(true);
+    remove();
+    put(entryOf({ startedAt: 100, writes: 7 }));
+    expect(registry.reach(ID)!.placed.selfReport.leaving).toBe(true);
+    put(entryOf({ startedAt: 200, writes: 1 }));
+    expect(registry.reach(ID)!.placed.selfReport.leaving).toBe(false);
   });
 
   it('does not hold for a later run under its id', () => {
@@ -135,7 +153,7 @@
     put(entryOf({ startedAt: 100 }));
     nameLimit(registry);
     put(entryOf({ startedAt: 200, writes: 1 }));
-    expect(registry.reach(ID)!.placed.limit.perSecond).toBeUndefined();
+    expect(registry.reach(ID)!.placed.selfReport.limit.perSecond).toBeUndefined();
   });
 });
 
--- a/packages/gateway/src/targets/lapsedTargets.ts
+++ b/packages/gateway/src/targets/lapsedTargets.ts
@@ -4,7 +4,7 @@
  * its answers holds on for the same run.
  */
 import type { TargetEntry } from '@cardamomladder/fleet';
-import type { PlacedTarget } from '@cardamomladder/steering';
+import type { SelfReport } from '@cardamomladder/steering';
 import type { TargetId } from '@cardamomladder/types';
 import { compareRuns } from './runs';
 
@@ -13,7 +13,7 @@
 
 interface Lapsed {
   entry: TargetEntry;
-  placed: PlacedTarget;
+  selfReport: SelfReport;
   at: number;
 }
 
@@ -27,18 +27,18 @@
   ) {}
 
   /** Notes that the target's entry has gone. */
-  note(entry: TargetEntry, placed: PlacedTarget): void {
+  note(entry: TargetEntry, selfReport: SelfReport): void {
     this.forget();
-    this.lapsed.set(entry.id, { entry, placed, at: this.now() });
+    this.lapsed.set(entry.id, { entry, selfReport, at: this.now() });
   }
 
-  /** The target that has come back with this entry; undefined for one that is new or runs anew. */
-  take(entry: TargetEntry): PlacedTarget | undefined {
+  /** What the target of this entry has said, if its run is one that had gone. */
+  take(entry: TargetEntry): SelfReport | undefined {
     this.forget();
     const before = this.lapsed.get(entry.id);
     this.lapsed.delete(entry.id);
     if (!before || compareRuns(before.entry, entry) === 'later') return undefined;
-    return before.placed;
+    return before.selfReport;
   }
 
   private forget(): void {
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -164,6 +164,14 @@
     return this.targets.get(id);
   }
 
+  /** Takes it that a target says it leaves; true if it had not said so before. */
+  takeLeaving(target: PlacedTarget): boolean {
+    if (target.selfReport.leaving) return false;
+    target.selfReport.leaving = true;
+    this.changePool(target.service, (targets) => [...targets]);
+    return true;
+  }
+
   /** How many targets are known. */
   get size(): number {
     return this.targets.size;
@@ -171,8 +179,9 @@
 
   /** How many targets name a limit. */
   get limited(): number {
-    return [...this.targets.values()].filter(({ placed }) => placed.limit.perSecond !== undefined)
-      .length;
+    return [...this.targets.values()].filter(
+      ({ placed }) => placed.selfReport.limit.perSecond !== undefined,
+    ).length;
   }
 
   private coldShareOf(target: PlacedTarget): number {
@@ -246,7 +255,7 @@
       this.of(entry.service).reportFade,
     );
     const before = this.lapsed.take(entry);
-    if (before) placed.limit = before.limit;
+    if (before) placed.selfReport = before;
     const target: ReachableTarget = {
       placed,
       entry,
@@ -260,7 +269,7 @@
 
   private lapse(id: TargetId): void {
     const target = this.targets.get(id);
-    if (target) this.lapsed.note(target.entry, target.placed);
+    if (target) this.lapsed.note(target.entry, target.placed.selfReport);
     this.drop(id);
   }
 
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -19,7 +19,7 @@
 export { limitShare } from './placing/limitShare';
 export type { HeardLimit } from './placing/namedLimit';
 export { NamedLimit } from './placing/namedLimit';
-export type { PlacedTarget, TargetFacts } from './placing/target';
+export type { PlacedTarget, SelfReport, TargetFacts } from './placing/target';
 export { learnAnswerMs, newTarget } from './placing/target';
 export type { Placement, ServicePool } from './placing/pool';
 export type { PlacementOutcome, RejectionReason } from './placing/place';
--- a/packages/steering/src/placing/describe.ts
+++ b/packages/steering/src/placing/describe.ts
@@ -25,7 +25,7 @@
 }
 
 const reasonOut = (target: PlacedTarget, pool: ServicePool, now: number): SeenTarget['out'] => {
-  if (target.leaving) return 'leaving';
+  if (target.leaving || target.selfReport.leaving) return 'leaving';
   if (pool.evacuated(target.failureDomain)) return 'evacuated';
   if (target.avoidUntil > now) return 'avoided';
   if (heldBackMs(target, pool, now) > 0) return 'held-back';
@@ -51,5 +51,5 @@
       reportAgeMs:
         target.load.reportedAt === undefined ? undefined : Math.round(now - target.load.reportedAt),
       out: reasonOut(target, pool, now),
-      limitPerSecond: target.limit.perSecond,
+      limitPerSecond: target.selfReport.limit.perSecond,
     }));
--- a/packages/steering/src/placing/pool.ts
+++ b/packages/steering/src/placing/pool.ts
@@ -45,11 +45,11 @@
 
 /** True while a target may get work at all. */
 export const usable = (target: PlacedTarget, pool: ServicePool): boolean =>
-  !target.leaving && !pool.evacuated(target.failureDomain);
+  !target.leaving && !target.selfReport.leaving && !pool.evacuated(target.failureDomain);
 
 /** How long what the target said of itself keeps requests from it, ms; 0 when one may go at once. */
 export const heldBackMs = (target: PlacedTarget, pool: ServicePool, now: number): number => {
-  const { limit } = target;
+  const { limit } = target.selfReport;
   if (limit.perSecond === undefined) return 0;
   return limit.waitMs(pool.limitShare(target, limit.perSecond), now);
 };
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -21,14 +21,20 @@
   slots: number;
 }
 
+/** What a target has said of itself in its answers; holds for as long as it runs, or until it says otherwise. */
+export interface SelfReport {
+  /** It leaves: gets no new work, whatever its entry says. */
+  leaving: boolean;
+  /** The limit that it names, if any. */
+  limit: NamedLimit;
+}
+
 /** A target with what this instance has learned of it. Times on the steady clock, ms. */
 export interface PlacedTarget extends TargetFacts {
   /** The hash of its id, for rankings. */
   hash: Uint8Array;
   /** Leaving: gets no new work. */
   leaving: boolean;
-  /** Said in its own answers that it leaves; holds for as long as it runs. */
-  saidLeaving: boolean;
   /** Cold until then: gets no more than its cold share. */
   coldUntil: number;
   /** Not chosen before then: it failed or could not be reached. */
@@ -42,8 +48,7 @@
   objects: RememberedObjects;
   /** Sends of the last second while cold. */
   coldSends: RollingCount;
-  /** The limit that it names, if any. */
-  limit: NamedLimit;
+  selfReport: SelfReport;
   /** Smoothed time from send to answer for objects it remembers, ms; undefined before the first such answer. */
   answerMs?: number;
 }
@@ -74,7 +79,6 @@
   ...facts,
   hash: hashOf(facts.id),
   leaving: false,
-  saidLeaving: false,
   coldUntil: 0,
   avoidUntil: 0,
   failures: 0,
@@ -82,7 +86,7 @@
   unanswered: new UnansweredSends(),
   objects: new RememberedObjects(),
   coldSends: new RollingCount(COLD_WINDOW_MS),
-  limit: new NamedLimit(),
+  selfReport: { leaving: false, limit: new NamedLimit() },
 });
 
 /** True when a target has less than so many requests per slot, as far as known. */
