A target that asks for a pause gets none of this instance's requests until it is over

What was seen: targets that turned requests away with Retry-After 3 got 69 and 22 requests from the instance that they had asked (2 allowed), two to three times as many as before: a fifth of the lookups were refused or late.

Cause: Retry-After of a target was not read. A refusal with a load report was taken for its load only, and a target that sheds all its work reports none, so it looked free and drew more. Same class as the limit and the leaving. Ruled out: that a shorter pause overwrote a longer one (none was kept), that requests were under way (sent by their callers 0.65 s later).

Change: the pause stands in what the target said of itself, apart from the pauses after failures; a shorter one does not end a longer one; it outlives a lapse of the entry, not a restart.

--- a/packages/gateway/src/requests/targetStatements.ts
+++ b/packages/gateway/src/requests/targetStatements.ts
@@ -35,11 +35,14 @@
   log.write('target-leaving', undefined, { target: target.id, believedLeaving: target.leaving });
 };
 
-const hearRest = (
-  restMs: number,
-  { id, selfReport }: PlacedTarget,
-  { log, now }: HearContext,
-): void => {
+/** No pause lasts longer, ms: a target that asks for more is asked again. */
+const REST_MOST_MS = 3_600_000;
+
+const hearRest = (restMs: number, target: PlacedTarget, { log, now }: HearContext): void => {
+  const { id, selfReport } = target;
+  const until = now() + Math.min(restMs, REST_MOST_MS);
+  // A shorter pause that is asked for later does not end one that lasts.
+  selfReport.restUntil = Math.max(selfReport.restUntil, until);
   const sentLately = selfReport.limit.sentLately(now());
   log.write('target-rest', undefined, { target: id, restMs, sentLately });
 };
--- a/packages/gateway/src/targets/__tests__/registry.test.ts
+++ b/packages/gateway/src/targets/__tests__/registry.test.ts
@@ -125,6 +125,10 @@
     expect(registry.reach(ID)).toBeUndefined();
     put(entryOf({ startedAt: 100, writes: 6 }));
     expect(registry.reach(ID)!.placed.selfReport.limit.perSecond).toBe(4);
+    registry.reach(ID)!.placed.selfReport.restUntil = 4000;
+    remove();
+    put(entryOf({ startedAt: 100, writes: 7 }));
+    expect(registry.reach(ID)!.placed.selfReport.restUntil).toBe(4000);
     remove();
     put(entryOf({ startedAt: 200, writes: 1 }));
     expect(registry.reach(ID)!.placed.selfReport.limit.perSecond).toBeUndefined();
--- a/packages/steering/src/placing/pool.ts
+++ b/packages/steering/src/placing/pool.ts
@@ -49,7 +49,8 @@
 
 /** How long what the target said of itself keeps requests from it, ms; 0 when one may go at once. */
 export const heldBackMs = (target: PlacedTarget, pool: ServicePool, now: number): number => {
-  const { limit } = target.selfReport;
-  if (limit.perSecond === undefined) return 0;
-  return limit.waitMs(pool.limitShare(target, limit.perSecond), now);
+  const { limit, restUntil } = target.selfReport;
+  const restMs = Math.max(0, restUntil - now);
+  if (limit.perSecond === undefined) return restMs;
+  return Math.max(restMs, limit.waitMs(pool.limitShare(target, limit.perSecond), now));
 };
--- a/packages/steering/src/placing/target.ts
+++ b/packages/steering/src/placing/target.ts
@@ -25,6 +25,8 @@
 export interface SelfReport {
   /** It leaves: gets no new work, whatever its entry says. */
   leaving: boolean;
+  /** It wants no requests from this instance until then, ms. */
+  restUntil: number;
   /** The limit that it names, if any. */
   limit: NamedLimit;
 }
@@ -86,7 +88,7 @@
   unanswered: new UnansweredSends(),
   objects: new RememberedObjects(),
   coldSends: new RollingCount(COLD_WINDOW_MS),
-  selfReport: { leaving: false, limit: new NamedLimit() },
+  selfReport: { leaving: false, restUntil: 0, limit: new NamedLimit() },
 });
 
 /** True when a target has less than so many requests per slot, as far as known. */
