Soak: targets name limits, and instances that were told keep to them

Judged by what callers were told and what arrived: windows of 4 s from 3 s after the naming, requests of processes that a caller had seen pass such an answer on half a second before, and that were not disturbed since.

--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -29,6 +29,7 @@
   'target-refuses',
   'target-loses-answers',
   'target-sends-extra',
+  'target-names-limit',
   'configuration-changes',
   'domain-evacuated',
 ] as const;
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -111,6 +111,11 @@
     return this.answers.get(id)?.status;
   }
 
+  /** A request as its caller sent it. */
+  askedOf(id: string): Asked | undefined {
+    return this.asked.get(id);
+  }
+
   /** Takes a request as it is sent. */
   ask(asked: Asked): void {
     this.asked.set(asked.id, asked);
--- /dev/null
+++ b/packages/soak/src/selfReports.ts
@@ -0,0 +1,88 @@
+/**
+ * What instances owe a target that says something of itself in its answers.
+ * An instance is bound from when a caller got such an answer from it; one that
+ * was disturbed since is not held to it.
+ */
+import type { Disturbances } from './disturbances';
+import type { Asked } from './promises';
+
+/** One request as it arrived at a target. */
+interface Arrival extends Pick<Asked, 'id' | 'instance' | 'incarnation'> {
+  at: number;
+}
+
+/** A limit that a target names for a while, in requests per second. */
+interface NamedSpan {
+  perSecond: number;
+  from: number;
+  to: number;
+}
+
+/** A limit binds this long after it was first named, ms. */
+const LIMIT_BINDS_MS = 3000;
+/** An instance counts from this long after it was told, ms. */
+const TOLD_MS = 500;
+const WINDOW_MS = 4000;
+/** In a window: half more than the limit allows, and five. */
+const tolerated = (perSecond: number): number => (perSecond * WINDOW_MS * 1.5) / 1000 + 5;
+
+/** Collects what targets said and what reached them. */
+export class SelfReports {
+  private readonly arrivals = new Map<string, Arrival[]>();
+
+  private readonly limits = new Map<string, NamedSpan[]>();
+
+  /** When each process was first told of each target's limit. */
+  private readonly toldLimit = new Map<string, number>();
+
+  constructor(
+    private readonly disturbances: Disturbances,
+    private readonly report: (promise: string, subject: string, detail: string) => void,
+  ) {}
+
+  /** A target names a limit; returns how to end that. */
+  nameLimit(target: string, perSecond: number, at: number): (endedAt: number) => void {
+    const span = { perSecond, from: at, to: Infinity };
+    this.limits.set(target, [...(this.limits.get(target) ?? []), span]);
+    return (endedAt) => {
+      span.to = endedAt;
+    };
+  }
+
+  /** A caller got an answer in which the target names a limit. */
+  hearLimit(target: string, { incarnation }: Asked, at: number): void {
+    const key = `${incarnation}|${target}`;
+    if (!this.toldLimit.has(key)) this.toldLimit.set(key, at);
+  }
+
+  /** A request arrived at a target. */
+  arrive(target: string, { id, instance, incarnation }: Asked, at: number): void {
+    const arrivals = this.arrivals.get(target) ?? [];
+    arrivals.push({ id, instance, incarnation, at });
+    this.arrivals.set(target, arrivals);
+  }
+
+  /** Looks through all that was collected. */
+  check(): void {
+    this.limits.forEach((spans, target) => spans.forEach((span) => this.checkLimit(target, span)));
+  }
+
+  private checkLimit(target: string, { perSecond, from, to }: NamedSpan): void {
+    const counted = (this.arrivals.get(target) ?? []).filter((arrival) => {
+      const toldAt = this.toldLimit.get(`${arrival.incarnation}|${target}`) ?? Infinity;
+      return (
+        arrival.at >= Math.max(from + LIMIT_BINDS_MS, toldAt + TOLD_MS) &&
+        arrival.at <= to &&
+        this.disturbances.calm([arrival.instance], toldAt, arrival.at)
+      );
+    });
+    const most = Math.max(
+      0,
+      ...counted.map(
+        (first, i) => counted.slice(i).filter(({ at }) => at - first.at <= WINDOW_MS).length,
+      ),
+    );
+    if (most > tolerated(perSecond))
+      this.report('target-limit', target, `${most} requests in 4 s at ${perSecond} a second`);
+  }
+}
