Player: targets in need name a limit, and what callers get from heeding it

Virtual time, 150 lookups a second on 18 targets, a sixth or a third of them with one slot and a limit of 2 a second for ten seconds. With few callers an instance's pace is used by half, as a request that is over the pace goes elsewhere and does not wait.

--- /dev/null
+++ b/packages/load/src/__tests__/limitedTargets.test.ts
@@ -0,0 +1,74 @@
+/** Lookups while some targets are in need and name a limit, in virtual time: what callers and targets get. */
+import { describe, expect, it } from 'vitest';
+import { playLoad, productRule } from '..';
+
+const IN_NEED_FROM_MS = 4000;
+const IN_NEED_TO_MS = 14_000;
+const BINDS_MS = 3000;
+const WINDOW_MS = 4000;
+const LIMIT = 2;
+const TOLERATED = LIMIT * (WINDOW_MS / 1000) * 1.5 + 5;
+
+/** 18 targets at half of their slots; a part of them works with one slot and names its limit for ten seconds. */
+const lookups = (seed: number, part: number, instancesPerRegion: number, heedsLimits: boolean) => {
+  const arrivals = new Map<number, number[]>();
+  const inNeed = (target: number) => target % 6 < part * 6;
+  const report = playLoad({
+    seed,
+    targetsPerRegion: { rvk: 6, aey: 6, egs: 6 },
+    target: { slots: 6, queue: 18, workMs: 480, warmGain: 0.6, remembers: 60 },
+    objectsPerRegion: 120,
+    instancesPerRegion,
+    rate: () => 50,
+    lengthMs: 16_000,
+    objectiveMs: 400,
+    deadlineMs: 2500,
+    betweenRegionsMs: 20,
+    rule: productRule,
+    heedsLimits,
+    onArrival: (target, at) => {
+      const binds = at > IN_NEED_FROM_MS + BINDS_MS && at < IN_NEED_TO_MS;
+      if (binds && inNeed(target)) arrivals.set(target, [...(arrivals.get(target) ?? []), at]);
+    },
+    disturb: (at, targets) =>
+      targets.forEach((target, i) => {
+        const now = inNeed(i) && at >= IN_NEED_FROM_MS && at < IN_NEED_TO_MS;
+        target.openSlots = now ? 1 : 6;
+        target.limitPerSecond = now ? LIMIT : undefined;
+      }),
+  });
+  const worst = Math.max(
+    0,
+    ...[...arrivals.values()].flatMap((times) =>
+      times.map((from, i) => times.slice(i).filter((at) => at - from <= WINDOW_MS).length),
+    ),
+  );
+  return { report, worst };
+};
+
+describe('while targets name a limit', () => {
+  it.each([
+    [1 / 6, 3],
+    [1 / 3, 3],
+    [1 / 3, 20],
+  ])(
+    'they get no more than it, and callers more; %d of them, %d instances a region',
+    (part, instances) => {
+      // Guards against instances that press on targets in need, at the price of their callers.
+      const pressing = lookups(1, part, instances, false);
+      const heeding = lookups(1, part, instances, true);
+      console.log(
+        `${part.toFixed(2)}, ${instances}: credit ${heeding.report.credit.toFixed(3)} (${pressing.report.credit.toFixed(3)} without), refused ${heeding.report.refused} (${pressing.report.refused}), most in 4 s ${heeding.worst} (${pressing.worst}) of ${TOLERATED}`,
+      );
+      expect(pressing.worst).toBeGreaterThan(TOLERATED);
+      expect(heeding.worst).toBeLessThanOrEqual(TOLERATED);
+      expect(heeding.report.credit).toBeGreaterThan(pressing.report.credit);
+    },
+  );
+
+  it('nobody gets less from it on a calm day', () => {
+    const pressing = lookups(2, 0, 3, false);
+    const heeding = lookups(2, 0, 3, true);
+    expect(heeding.report).toEqual(pressing.report);
+  });
+});
--- a/packages/load/src/player/play.ts
+++ b/packages/load/src/player/play.ts
@@ -20,6 +20,7 @@
   Rankings,
   ReportFade,
   learnAnswerMs,
+  limitShare,
   newTarget,
   overdueAfter,
   place,
@@ -65,6 +66,10 @@
   rule: PlacingRule;
   /** False: a target that has fallen silent is only noticed when its answers have run out of time. */
   noticesSilence?: boolean;
+  /** False: instances do not heed the limits that targets name. */
+  heedsLimits?: boolean;
+  /** Called as a request arrives at a target, by its number. */
+  onArrival?: (target: number, atMs: number) => void;
   /** Changes targets while the load plays, such as making some slow. */
   disturb?: (atMs: number, targets: PlayedTarget[]) => void;
 }
@@ -153,8 +158,13 @@
     slots: options.target.slots,
   }));
   const demand = new Map(regions.map((region) => [regionName(region), 1]));
-  const instances = regions.flatMap((region): PlayedInstance[] =>
-    Array.from({ length: options.instancesPerRegion ?? DEFAULT_INSTANCES }, () => ({
+  const perRegion = options.instancesPerRegion ?? DEFAULT_INSTANCES;
+  const names = regions.flatMap((region) =>
+    Array.from({ length: perRegion }, (_, i) => `${region}-instance-${i}`),
+  );
+  const sharers = { ids: names, size: names.length };
+  const instances = regions.flatMap((region, r): PlayedInstance[] =>
+    Array.from({ length: perRegion }, (_, i) => ({
       region,
       rankings: new Rankings(),
       longest: { remembered: new LongestAnswer(), first: new LongestAnswer() },
@@ -168,7 +178,8 @@
         helpAbroad: new HelpAbroad(),
         evacuated: () => false,
         coldShare: () => 1,
-        limitShare: () => ({ intervalMs: 0, phase: 0 }),
+        limitShare: ({ id }, perSecond) =>
+          limitShare(id, names[r * perRegion + i], sharers, perSecond),
       },
     })),
   );
@@ -213,7 +224,8 @@
       return;
     }
     const { target } = outcome;
-    const played = targets[facts.findIndex((f) => f.id === target.id)];
+    const number = facts.findIndex((f) => f.id === target.id);
+    const played = targets[number];
     const wayMs =
       target.region === regionName(instance.region) ? LOCAL_MS : options.betweenRegionsMs;
     const sentAt = events.now;
@@ -221,6 +233,7 @@
     const remembered = target.objects.has(objectKey(object));
     target.objects.note(objectKey(object));
     target.load.own += 1;
+    target.selfReport.limit.take(sentAt);
     const longest = instance.longest[remembered ? 'remembered' : 'first'];
     const expectedMs = overdueAfter(longest.now(sentAt)) ?? Infinity;
     const endSend = target.unanswered.begin(
@@ -239,11 +252,15 @@
       const avoidMs = Math.min(AVOID_MOST_MS, AVOID_FIRST_MS * 2 ** (target.failures - 1));
       if (target.failures >= LOST_IN_A_ROW) target.avoidUntil = events.now + avoidMs;
     });
-    events.after(wayMs, () =>
-      played.take(object, (ran) =>
+    events.after(wayMs, () => {
+      options.onArrival?.(number, events.now);
+      played.take(object, (ran) => {
+        const perSecond = played.limitPerSecond;
         events.after(wayMs, () => {
           if (isOver) return;
           isOver = true;
+          if (options.heedsLimits ?? true)
+            target.selfReport.limit.hear({ perSecond, ran, sentAt }, events.now);
           target.load.own -= 1;
           endSend('answered', events.now);
           if (ran) {
@@ -256,9 +273,9 @@
           if (!ran) refuse(instance, object, askedAt, LOCAL_MS, again);
           else if (events.now - askedAt <= options.objectiveMs) report.inObjective += 1;
           else if (events.now - askedAt <= options.deadlineMs) report.late += 1;
-        }),
-      ),
-    );
+        });
+      });
+    });
   }
   const arrive = (region: string): void => {
     const rate = options.rate(region, events.now);
--- a/packages/load/src/player/playedTarget.ts
+++ b/packages/load/src/player/playedTarget.ts
@@ -32,6 +32,12 @@
   /** Slower by this factor while it is slow. */
   slowness = 1;
 
+  /** Slots that it works with now; fewer than it has while it is in need. */
+  openSlots: number;
+
+  /** Requests per second that it names as its limit, while it is in need. */
+  limitPerSecond: number | undefined;
+
   private running = 0;
 
   private readonly waiting: WaitingRun[] = [];
@@ -42,11 +48,13 @@
     private readonly options: PlayedTargetOptions,
     private readonly events: EventQueue,
     private readonly random: () => number,
-  ) {}
+  ) {
+    this.openSlots = options.slots;
+  }
 
   /** Takes a request; `done(false)` at once when it is full. */
   take(object: string, done: (ran: boolean) => void): void {
-    if (this.running < this.options.slots) this.run({ object, done });
+    if (this.running < this.openSlots) this.run({ object, done });
     else if (this.waiting.length < this.options.queue) this.waiting.push({ object, done });
     else done(false);
   }
