Soak: targets that say they leave in their answers only get nothing from instances that were told

Bound: sent by its caller over 2.5 s after a caller had got such an answer from the same process, which was not disturbed since.

--- a/packages/soak/src/__tests__/selfReports.test.ts
+++ b/packages/soak/src/__tests__/selfReports.test.ts
@@ -25,6 +25,24 @@
   return { found, disturbances, reports };
 };
 
+describe('a target that says it leaves', () => {
+  const play = (askedAt: number, disturbed = false) => {
+    const { found, disturbances, reports } = setUp();
+    if (disturbed) disturbances.begin('i-1', 1000)(1500);
+    reports.hearLeaving(TARGET, asked('told'), 100);
+    reports.hearLeaving(TARGET, asked('told again'), 3000);
+    reports.arrive(TARGET, asked('r', askedAt), askedAt + 10);
+    reports.check();
+    return found;
+  };
+
+  it('must not get a request that was sent over 2.5 s after its instance was told', () => {
+    expect(play(2550)).toEqual([]);
+    expect(play(2650)).toEqual(['target-leaving r']);
+    expect(play(2650, true)).toEqual([]);
+  });
+});
+
 describe('a limit that a target names', () => {
   /** So many requests a second for eight seconds, told of a limit of two from 100 ms on. */
   const play = (perSecond: number, { reports }: ReturnType<typeof setUp>) => {
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -30,6 +30,7 @@
   'target-loses-answers',
   'target-sends-extra',
   'target-names-limit',
+  'target-says-it-leaves',
   'configuration-changes',
   'domain-evacuated',
 ] as const;
--- a/packages/soak/src/selfReports.ts
+++ b/packages/soak/src/selfReports.ts
@@ -8,6 +8,7 @@
 
 /** One request as it arrived at a target. */
 interface Arrival extends Pick<Asked, 'id' | 'instance' | 'incarnation'> {
+  askedAt: number;
   at: number;
 }
 
@@ -26,6 +27,18 @@
 /** In a window: half more than the limit allows, and five. */
 const tolerated = (perSecond: number): number => (perSecond * WINDOW_MS * 1.5) / 1000 + 5;
 
+/** A request that its caller sent later than this after its instance was told must not reach a leaving target, ms. */
+const LEAVES_WITHIN_MS = 2500;
+
+/** One process and one target. */
+const keyOf = ({ incarnation }: Pick<Asked, 'incarnation'>, target: string): string =>
+  `${incarnation}|${target}`;
+
+const noteFirst = (told: Map<string, number>, asked: Asked, target: string, at: number): void => {
+  const key = keyOf(asked, target);
+  if (!told.has(key)) told.set(key, at);
+};
+
 /** Collects what targets said and what reached them. */
 export class SelfReports {
   private readonly arrivals = new Map<string, Arrival[]>();
@@ -35,6 +48,9 @@
   /** When each process was first told of each target's limit. */
   private readonly toldLimit = new Map<string, number>();
 
+  /** When each process was first told that a target leaves. */
+  private readonly toldLeaving = new Map<string, number>();
+
   constructor(
     private readonly disturbances: Disturbances,
     private readonly report: (promise: string, subject: string, detail: string) => void,
@@ -50,26 +66,42 @@
   }
 
   /** A caller got an answer in which the target names a limit. */
-  hearLimit(target: string, { incarnation }: Asked, at: number): void {
-    const key = `${incarnation}|${target}`;
-    if (!this.toldLimit.has(key)) this.toldLimit.set(key, at);
+  hearLimit(target: string, asked: Asked, at: number): void {
+    noteFirst(this.toldLimit, asked, target, at);
+  }
+
+  /** A caller got an answer in which the target says that it leaves. */
+  hearLeaving(target: string, asked: Asked, at: number): void {
+    noteFirst(this.toldLeaving, asked, target, at);
   }
 
   /** A request arrived at a target. */
-  arrive(target: string, { id, instance, incarnation }: Asked, at: number): void {
+  arrive(target: string, { id, instance, incarnation, at: askedAt }: Asked, at: number): void {
     const arrivals = this.arrivals.get(target) ?? [];
-    arrivals.push({ id, instance, incarnation, at });
+    arrivals.push({ id, instance, incarnation, askedAt, at });
     this.arrivals.set(target, arrivals);
   }
 
   /** Looks through all that was collected. */
   check(): void {
     this.limits.forEach((spans, target) => spans.forEach((span) => this.checkLimit(target, span)));
+    this.arrivals.forEach((arrivals, target) =>
+      arrivals.forEach((arrival) => this.checkLeaving(target, arrival)),
+    );
+  }
+
+  private checkLeaving(target: string, arrival: Arrival): void {
+    const { id, instance, askedAt, at } = arrival;
+    const toldAt = this.toldLeaving.get(keyOf(arrival, target)) ?? Infinity;
+    if (askedAt - toldAt <= LEAVES_WITHIN_MS || !this.disturbances.calm([instance], toldAt, at))
+      return;
+    const afterMs = Math.round(askedAt - toldAt);
+    this.report('target-leaving', id, `sent ${afterMs} ms after its instance knew, to ${target}`);
   }
 
   private checkLimit(target: string, { perSecond, from, to }: NamedSpan): void {
     const counted = (this.arrivals.get(target) ?? []).filter((arrival) => {
-      const toldAt = this.toldLimit.get(`${arrival.incarnation}|${target}`) ?? Infinity;
+      const toldAt = this.toldLimit.get(keyOf(arrival, target)) ?? Infinity;
       return (
         arrival.at >= Math.max(from + LIMIT_BINDS_MS, toldAt + TOLD_MS) &&
         arrival.at <= to &&
