--- a/packages/soak/src/__tests__/selfReports.test.ts
+++ b/packages/soak/src/__tests__/selfReports.test.ts
@@ -43,6 +43,25 @@
   });
 });
 
+describe('a target that asks for a pause', () => {
+  const play = (requests: number, disturbed?: string) => {
+    const { found, disturbances, reports } = setUp();
+    if (disturbed) disturbances.begin(disturbed, 1000)(1500);
+    reports.askForPause(TARGET, asked('refused'), 100, 3000);
+    for (let i = 0; i < requests; i += 1) reports.arrive(TARGET, asked(`r-${i}`), 700 + i);
+    reports.arrive(TARGET, asked('under way'), 500);
+    reports.arrive(TARGET, asked('after'), 3200);
+    reports.check();
+    return found;
+  };
+
+  it('must not get more than two requests of the same process in it', () => {
+    expect(play(2)).toEqual([]);
+    expect(play(3)).toEqual([`target-pause ${TARGET}`]);
+    expect([...play(3, 'i-1'), ...play(3, TARGET)]).toEqual([]);
+  });
+});
+
 describe('a limit that a target names', () => {
   /** So many requests a second for eight seconds, told of a limit of two from 100 ms on. */
   const play = (perSecond: number, { reports }: ReturnType<typeof setUp>) => {
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -31,6 +31,7 @@
   'target-sends-extra',
   'target-names-limit',
   'target-says-it-leaves',
+  'target-asks-for-pause',
   'configuration-changes',
   'domain-evacuated',
 ] as const;
--- a/packages/soak/src/selfReports.ts
+++ b/packages/soak/src/selfReports.ts
@@ -12,6 +12,12 @@
   at: number;
 }
 
+/** A request that a target turned away, with a pause that it asked for. */
+interface Pause extends Pick<Asked, 'instance' | 'incarnation'> {
+  from: number;
+  to: number;
+}
+
 /** A limit that a target names for a while, in requests per second. */
 interface NamedSpan {
   perSecond: number;
@@ -39,12 +45,19 @@
   if (!told.has(key)) told.set(key, at);
 };
 
+/** Requests that were under way when a target asked for a pause have arrived after this, ms. */
+const UNDER_WAY_MS = 500;
+/** Requests of a process that may reach a target in a pause nevertheless. */
+const IN_PAUSE_MOST = 2;
+
 /** Collects what targets said and what reached them. */
 export class SelfReports {
   private readonly arrivals = new Map<string, Arrival[]>();
 
   private readonly limits = new Map<string, NamedSpan[]>();
 
+  private readonly pauses = new Map<string, Pause[]>();
+
   /** When each process was first told of each target's limit. */
   private readonly toldLimit = new Map<string, number>();
 
@@ -75,6 +88,13 @@
     noteFirst(this.toldLeaving, asked, target, at);
   }
 
+  /** A target turned a request away and wants nothing from its instance for so long, ms. */
+  askForPause(target: string, { instance, incarnation }: Asked, at: number, forMs: number): void {
+    const pauses = this.pauses.get(target) ?? [];
+    pauses.push({ instance, incarnation, from: at + UNDER_WAY_MS, to: at + forMs });
+    this.pauses.set(target, pauses);
+  }
+
   /** A request arrived at a target. */
   arrive(target: string, { id, instance, incarnation, at: askedAt }: Asked, at: number): void {
     const arrivals = this.arrivals.get(target) ?? [];
@@ -88,6 +108,18 @@
     this.arrivals.forEach((arrivals, target) =>
       arrivals.forEach((arrival) => this.checkLeaving(target, arrival)),
     );
+    this.pauses.forEach((pauses, target) =>
+      pauses.forEach((pause) => this.checkPause(target, pause)),
+    );
+  }
+
+  private checkPause(target: string, { instance, incarnation, from, to }: Pause): void {
+    const most = (this.arrivals.get(target) ?? []).filter(
+      (arrival) => arrival.incarnation === incarnation && arrival.at > from && arrival.at < to,
+    ).length;
+    // A path to the target that holds requests up brings them late.
+    if (most > IN_PAUSE_MOST && this.disturbances.calm([instance, target], from, to))
+      this.report('target-pause', target, `${most} requests of ${instance} in a pause`);
   }
 
   private checkLeaving(target: string, arrival: Arrival): void {
