--- a/packages/gateway/src/targets/__fixtures__/send.ts
+++ b/packages/gateway/src/targets/__fixtures__/send.ts
@@ -1,6 +1,6 @@
 /** Plain sends to a server of the test's own, on kept connections. */
 import type { Wire } from '../../wireNames';
-import type { Attempt } from '../attempt';
+import type { Attempt, AttemptRequest } from '../attempt';
 import { sendAttempt } from '../attempt';
 import type { TargetConnections } from '../connections';
 
@@ -23,7 +23,11 @@
 };
 
 /** Sends a request to a port of this machine, on a kept connection if there is one. */
-export const beginSend = (port: number, connections: TargetConnections): Attempt =>
+export const beginSend = (
+  port: number,
+  connections: TargetConnections,
+  heard: AttemptRequest['heard'] = () => {},
+): Attempt =>
   sendAttempt({
     host: '127.0.0.1',
     port,
@@ -35,5 +39,5 @@
     timeoutMs: 2000,
     connections,
     wire,
-    heard: () => {},
+    heard,
   });
--- /dev/null
+++ b/packages/gateway/src/targets/__tests__/attempt.test.ts
@@ -0,0 +1,79 @@
+/** Which answers are taken for the target's own word on itself. */
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { beginSend } from '../__fixtures__/send';
+import { TargetConnections } from '../connections';
+import { IdleLimit } from '../idleLimit';
+
+const BODY = 'x'.repeat(20);
+const closing: (() => void)[] = [];
+const now = () => performance.now();
+
+/** A server that answers any request with these bytes and closes the connection. */
+const answering = async (bytes: string): Promise<number> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end(bytes));
+  });
+  closing.push(() => server.close());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return (server.address() as AddressInfo).port;
+};
+/** What is heard of a target that answers so: kinds of answers. */
+const heardOf = async (status: string, headers: string[], body = BODY): Promise<string[]> => {
+  const length = `content-length: ${BODY.length}`;
+  const text = [`HTTP/1.1 ${status}`, length, ...headers].join('\r\n');
+  const port = await answering(`${text}\r\n\r\n${body}`);
+  const connections = new TargetConnections(2, now, new IdleLimit());
+  const heard: string[] = [];
+  const { outcome } = beginSend(port, connections, (_, source) => heard.push(source));
+  await outcome;
+  connections.destroy();
+  return heard;
+};
+
+afterEach(() => closing.splice(0).forEach((close) => close()));
+
+describe('what a target says of itself', () => {
+  it('is taken from every kind of answer of its own, and from no other', async () => {
+    // Guards against words that are read from whole successes only, or believed of another target.
+    const own = ['x-id: r', 'x-sig: s'];
+    const heard = {
+      success: await heardOf('200 OK', own),
+      failure: await heardOf('500 Failed', own),
+      'cut off': await heardOf('200 OK', own, 'x'),
+      refusal: await heardOf('503 Full', ['x-not-run: 1', 'x-id: r']),
+      'refusal that names no request': await heardOf('503 Full', ['x-not-run: 1']),
+      'without its signature': await heardOf('200 OK', ['x-id: r']),
+      'to another request': await heardOf('200 OK', ['x-id: other', 'x-sig: s']),
+      'of another target': await heardOf('421 Misdirected', ['x-not-run: 1', 'x-id: r']),
+    };
+    expect(heard).toMatchInlineSnapshot(`
+      {
+        "cut off": [
+          "run",
+        ],
+        "failure": [
+          "run",
+        ],
+        "of another target": [],
+        "refusal": [
+          "refusal",
+        ],
+        "refusal that names no request": [
+          "refusal",
+        ],
+        "success": [
+          "run",
+        ],
+        "to another request": [],
+        "without its signature": [
+          "garbled",
+        ],
+      }
+    `);
+  });
+});
