--- a/packages/load/src/__tests__/limitedTargets.test.ts
+++ b/packages/load/src/__tests__/limitedTargets.test.ts
@@ -10,7 +10,7 @@
 const TOLERATED = LIMIT * (WINDOW_MS / 1000) * 1.5 + 5;
 
 /** 18 targets at half of their slots; a part of them works with one slot and names its limit for ten seconds. */
-const lookups = (seed: number, part: number, instancesPerRegion: number, heedsLimits: boolean) => {
+const lookups = (seed: number, part: number, instancesPerRegion: number, heedsTargets: boolean) => {
   const arrivals = new Map<number, number[]>();
   const inNeed = (target: number) => target % 6 < part * 6;
   const report = playLoad({
@@ -25,7 +25,7 @@
     deadlineMs: 2500,
     betweenRegionsMs: 20,
     rule: productRule,
-    heedsLimits,
+    heedsTargets,
     onArrival: (target, at) => {
       const binds = at > IN_NEED_FROM_MS + BINDS_MS && at < IN_NEED_TO_MS;
       if (binds && inNeed(target)) arrivals.set(target, [...(arrivals.get(target) ?? []), at]);
--- a/packages/load/src/player/play.ts
+++ b/packages/load/src/player/play.ts
@@ -7,6 +7,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type {
+  HeardLimit,
   Locality,
   PlacedTarget,
   Placement,
@@ -66,8 +67,8 @@
   rule: PlacingRule;
   /** False: a target that has fallen silent is only noticed when its answers have run out of time. */
   noticesSilence?: boolean;
-  /** False: instances do not heed the limits that targets name. */
-  heedsLimits?: boolean;
+  /** False: instances do not heed what targets say of themselves. */
+  heedsTargets?: boolean;
   /** Called as a request arrives at a target, by its number. */
   onArrival?: (target: number, atMs: number) => void;
   /** Changes targets while the load plays, such as making some slow. */
@@ -121,6 +122,18 @@
   return facts.map((each) => newTarget(each, fade));
 };
 
+/** What an answer tells an instance of its target's limit and pause. */
+const hearTarget = (
+  { selfReport }: PlacedTarget,
+  heard: HeardLimit,
+  pauseMs: number | undefined,
+  now: number,
+): void => {
+  selfReport.limit.hear(heard, now);
+  if (heard.ran || pauseMs === undefined) return;
+  Object.assign(selfReport, { restUntil: Math.max(selfReport.restUntil, now + pauseMs) });
+};
+
 interface PlayedInstance {
   region: string;
   pool: ServicePool;
@@ -255,12 +268,12 @@
     events.after(wayMs, () => {
       options.onArrival?.(number, events.now);
       played.take(object, (ran) => {
-        const perSecond = played.limitPerSecond;
+        const { limitPerSecond: perSecond, pauseMs } = played;
         events.after(wayMs, () => {
           if (isOver) return;
           isOver = true;
-          if (options.heedsLimits ?? true)
-            target.selfReport.limit.hear({ perSecond, ran, sentAt }, events.now);
+          if (options.heedsTargets ?? true)
+            hearTarget(target, { perSecond, ran, sentAt }, pauseMs, events.now);
           target.load.own -= 1;
           endSend('answered', events.now);
           if (ran) {
--- a/packages/load/src/player/playedTarget.ts
+++ b/packages/load/src/player/playedTarget.ts
@@ -38,6 +38,9 @@
   /** Requests per second that it names as its limit, while it is in need. */
   limitPerSecond: number | undefined;
 
+  /** Turns all requests away while this is set, and wants none from the instance for so long, ms. */
+  pauseMs: number | undefined;
+
   private running = 0;
 
   private readonly waiting: WaitingRun[] = [];
@@ -54,7 +57,8 @@
 
   /** Takes a request; `done(false)` at once when it is full. */
   take(object: string, done: (ran: boolean) => void): void {
-    if (this.running < this.openSlots) this.run({ object, done });
+    if (this.pauseMs !== undefined) done(false);
+    else if (this.running < this.openSlots) this.run({ object, done });
     else if (this.waiting.length < this.options.queue) this.waiting.push({ object, done });
     else done(false);
   }
