A request that finds no token of its customer waits for the lender's answer

Cause: a customer's tokens lie with the instances that had its callers lately. Callers of a small customer come to each of many instances once in some seconds; most of these hold none, and turned the request away at once, though the lender had some. After a start nobody holds any.

Change: such a request waits for the lender's answer, 0.2 s at most. Once the lender has had nothing for a request that waited, or did not answer, the next 0.3 s of requests are turned away at once, so that what is known to be over its limit does not wait. A question says how many wait; these get tokens whatever their instance's part. Below one token for each instance, tokens are lent to requests that wait only (parts are rounded down), or they lie where nobody asks.

--- a/packages/customers/src/quota/__fixtures__/playedQuota.ts
+++ b/packages/customers/src/quota/__fixtures__/playedQuota.ts
@@ -35,7 +35,8 @@
 
 /** One way of sharing a limit. */
 export interface SharingWay {
-  admit: (at: InstanceId) => boolean;
+  /** Decides on a request, at once or after a wait. */
+  admit: (at: InstanceId, decide: (isTaken: boolean) => void) => void;
   /** Called every `STEP_MS`. */
   step: () => void;
   /** An instance takes callers again and remembers nothing; its process started at `startedAt`. */
@@ -65,6 +66,8 @@
   /** Turned away though one bucket for all would have taken them, as a part of those. */
   turnedAwayWithin: number;
   messagesPerSecond: number;
+  /** The longest that a request waited before it was taken, ms. */
+  longestWait: number;
 }
 
 const worstWindowOf = (taken: readonly number[], limit: RateLimit): number => {
@@ -115,13 +118,17 @@
   const taken: number[] = [];
   let within = 0;
   let turnedAway = 0;
+  let longestWait = 0;
   const request = (id: InstanceId): void => {
     const isWithin = ideal.take(1, now) === 1;
-    const isTaken = way.admit(id);
-    if (isTaken) taken.push(now);
-    if (!isWithin || now < (play.countedFrom ?? 0)) return;
-    within += 1;
-    if (!isTaken) turnedAway += 1;
+    const counts = isWithin && now >= (play.countedFrom ?? 0);
+    const cameAt = now;
+    if (counts) within += 1;
+    way.admit(id, (isTaken) => {
+      if (isTaken) taken.push(now);
+      if (isTaken) longestWait = Math.max(longestWait, now - cameAt);
+      if (counts && !isTaken) turnedAway += 1;
+    });
   };
   const downSince = new Map<number, number>();
   const step = (): void => {
@@ -149,5 +156,6 @@
     worstWindow: worstWindowOf(taken, limit),
     turnedAwayWithin: within === 0 ? 0 : turnedAway / within,
     messagesPerSecond: messages / play.seconds,
+    longestWait,
   };
 };
--- a/packages/customers/src/quota/__fixtures__/sharingWays.ts
+++ b/packages/customers/src/quota/__fixtures__/sharingWays.ts
@@ -29,7 +29,7 @@
   };
   const buckets = new Map(ids.map((id) => [id, new TokenBucket(share, 0)]));
   return {
-    admit: (id) => buckets.get(id)?.take(1, now()) === 1,
+    admit: (id, decide) => decide(buckets.get(id)?.take(1, now()) === 1),
     step: () => {},
     restart: (id) => buckets.set(id, new TokenBucket(share, now())),
   };
@@ -47,13 +47,13 @@
   const states = new Map(ids.map((id) => [id, fresh()]));
   const stateOf = (id: InstanceId) => states.get(id) ?? fresh();
   return {
-    admit: (id) => {
+    admit: (id, decide) => {
       const state = stateOf(id);
       const strict = state.all.tokens(now()) < nearLimit;
       const admits = strict ? state.own.take(1, now()) === 1 : state.all.take(1, now()) === 1;
       if (admits && strict) state.all.take(1, now());
       if (admits) state.untold += 1;
-      return admits;
+      decide(admits);
     },
     step: inRounds(fleet, (id) => {
       const state = stateOf(id);
@@ -71,9 +71,9 @@
 /** How many instances lend. */
 const KEEPERS = 3;
 
-/** The standing way: even parts, and tokens that a keeper lends. */
-export const lentTokens = (fleet: PlayedFleet): SharingWay => {
-  const { ids, limit, now, send, sees } = fleet;
+/** Even parts, and tokens that a keeper lends; requests wait for these, or not. */
+const lending = (fleet: PlayedFleet, waits: boolean): SharingWay => {
+  const { ids, limit, now, send, sees, isUp } = fleet;
   const customer: Customer = { name: PLAYED_CUSTOMER, keys: [], homeRegions: [], limit };
   const holders = { ids, size: ids.length };
   const keeperFor = (viewer: InstanceId): InstanceId => {
@@ -105,6 +105,7 @@
   const states = new Map(ids.map((id) => [id, fresh(id, 0)]));
   const ask = (id: InstanceId): void => {
     const asking = states.get(id);
+    const allowance = asking?.allowances.of(PLAYED_CUSTOMER);
     const need = asking?.allowances.needs().get(PLAYED_CUSTOMER);
     const keeper = keeperFor(id);
     // The lender is to know that it is in touch with those that need nothing.
@@ -114,8 +115,8 @@
     }
     const receive = (lent: number | undefined) => {
       // What was lent to a run that has ended since is lost.
-      if (lent !== undefined && states.get(id) === asking)
-        asking?.allowances.of(PLAYED_CUSTOMER)?.receive(lent, now());
+      if (lent === undefined || states.get(id) !== asking) return;
+      allowance?.receive(lent, now());
     };
     const lend = () => {
       const lender = states.get(keeper)?.lender;
@@ -130,14 +131,29 @@
         send(keeper, id, () => receive(lent));
       });
   };
+  const inEachRound = inRounds(fleet, ask);
   return {
-    admit: (id) => {
+    admit: (id, decide) => {
       const allowance = states.get(id)?.allowances.of(PLAYED_CUSTOMER);
-      const admits = allowance?.take(now()) ?? true;
+      if (!waits) decide(allowance?.take(now()) ?? true);
+      else if (!allowance) decide(true);
+      else allowance.request(decide, now());
       if (allowance?.isShort(now())) ask(id);
-      return admits;
     },
-    step: inRounds(fleet, ask),
+    step: () => {
+      inEachRound();
+      ids.filter(isUp).forEach((id) => {
+        const allowance = states.get(id)?.allowances.of(PLAYED_CUSTOMER);
+        allowance?.expire(now());
+        if (allowance && allowance.waits > 0) ask(id);
+      });
+    },
     restart: (id, startedAt) => states.set(id, fresh(id, startedAt)),
   };
 };
+
+/** The standing way: even parts, and tokens that a keeper lends. */
+export const lentTokens = (fleet: PlayedFleet): SharingWay => lending(fleet, true);
+
+/** The way before: a request that finds no token is turned away at once. */
+export const lentTokensAtOnce = (fleet: PlayedFleet): SharingWay => lending(fleet, false);
--- a/packages/customers/src/quota/__tests__/quota.test.ts
+++ b/packages/customers/src/quota/__tests__/quota.test.ts
@@ -6,8 +6,13 @@
 import { seeded } from '@cardamomladder/load';
 import type { QuotaPlay } from '../__fixtures__/playedQuota';
 import { PLAYED_CUSTOMER, TOLERANCE, playQuota } from '../__fixtures__/playedQuota';
-import { countedTogether, equalShares, lentTokens } from '../__fixtures__/sharingWays';
-import { Allowance } from '../allowance';
+import {
+  countedTogether,
+  equalShares,
+  lentTokens,
+  lentTokensAtOnce,
+} from '../__fixtures__/sharingWays';
+import { Allowance, WAIT_MOST_MS } from '../allowance';
 import { floorShare } from '../floorShare';
 import { keepersAmong } from '../keeper';
 import { Lender } from '../lender';
@@ -92,6 +97,42 @@
     );
   });
 
+  it.each([
+    [5, 30],
+    [10, 59],
+    [16, 59],
+  ])('lets callers of a small customer in, %i a second at %i instances', (perSecond, instances) => {
+    // Guards against requests turned away below the limit where the tokens lie with other instances.
+    const spread = play(instances, {
+      limit: { perSecond, burst: perSecond },
+      demand: () => (0.6 * perSecond) / instances,
+    });
+    const atOnce = playQuota({ ...spread, random: seeded(1) }, lentTokensAtOnce);
+    const waiting = playQuota({ ...spread, random: seeded(1) }, lentTokens);
+    expect(atOnce.turnedAwayWithin).toBeGreaterThan(0.1);
+    expect(waiting.turnedAwayWithin).toBe(0);
+    expect(waiting.longestWait).toBeLessThanOrEqual(WAIT_MOST_MS);
+  });
+
+  it.each([
+    [10, 30],
+    [40, 59],
+  ])(
+    'lets callers in soon after all were killed, %i a second at %i instances',
+    (perSecond, instances) => {
+      // Guards against a fleet that starts with tokens for nobody and serves its customers seconds later.
+      const killed = play(instances, {
+        limit: { perSecond, burst: perSecond },
+        demand: () => (0.6 * perSecond) / instances,
+        countedFrom: 9000,
+        isDown: (_, at) => at > 8000 && at < 9000,
+      });
+      const { turnedAwayWithin, worstWindow } = playQuota(killed, lentTokens);
+      expect(turnedAwayWithin).toBeLessThan(0.05);
+      expect(worstWindow).toBeLessThanOrEqual(1);
+    },
+  );
+
   it('is used up by a hot customer, no matter where its callers are', () => {
     const { worstWindow } = playQuota(play(12, { demand: hot(12) }), lentTokens);
     const limitItself = (LARGE.perSecond * 5) / ((LARGE.perSecond * 5 + LARGE.burst) * 1.1 + 20);
@@ -118,6 +159,43 @@
     expect(allowance.take(100)).toBe(true);
   });
 
+  describe('a request that finds no token', () => {
+    const setUp = () => {
+      const allowance = new Allowance({ perSecond: 0, burst: 0 }, 0);
+      const decided: boolean[] = [];
+      const request = (now: number) =>
+        allowance.request((isAdmitted) => decided.push(isAdmitted), now);
+      return { allowance, decided, request };
+    };
+
+    it('waits for the lender, and goes when it lends', () => {
+      const { allowance, decided, request } = setUp();
+      request(0);
+      request(1);
+      expect(allowance.need(1)).toMatchObject({ waiting: 2 });
+      expect(decided).toEqual([]);
+      allowance.receive(1, 40);
+      expect(decided).toEqual([true]);
+      allowance.expire(WAIT_MOST_MS + 1);
+      expect(decided).toEqual([true, false]);
+    });
+
+    it('is turned away at once while the lender has nothing, or does not answer', () => {
+      // Guards against requests known to be over the limit that wait all the same.
+      const { allowance, decided, request } = setUp();
+      request(0);
+      allowance.need(0);
+      allowance.receive(0, 40);
+      expect(decided).toEqual([false]);
+      request(50);
+      expect(decided).toEqual([false, false]);
+      request(1000);
+      expect(decided).toHaveLength(2);
+      allowance.unanswered(1100);
+      expect(decided).toEqual([false, false, false]);
+    });
+  });
+
   it('tells callers that are turned away together to come back one after another', () => {
     const allowance = new Allowance({ perSecond: 4, burst: 4 }, 0);
     allowance.receive(0, 0);
@@ -200,7 +278,7 @@
 describe('a lender', () => {
   const customer = { name: PLAYED_CUSTOMER, keys: [], homeRegions: [], limit: LARGE };
   const borrower = instanceId('b');
-  const need = { stock: 0, back: 0, shareUsed: 0, demand: 10 };
+  const need = { stock: 0, back: 0, shareUsed: 0, demand: 10, waiting: 0 };
 
   it('lends the part of the limit that goes with the instances in touch with it', () => {
     // Guards against two lenders on both sides of a cut that each lend the whole limit.
--- a/packages/customers/src/quota/allowance.ts
+++ b/packages/customers/src/quota/allowance.ts
@@ -1,6 +1,9 @@
 /**
  * What one instance may take of one customer's requests now: its even share,
- * and tokens that were lent to it. Nothing is asked while a request waits.
+ * and tokens that were lent to it. A request that finds none waits for the
+ * lender's answer, unless the lender has just had none to lend: a small customer
+ * whose callers are spread over many instances leaves most of these without a
+ * token, and would be turned away below its limit.
  */
 import type { RateLimit } from '../customer';
 import { FadingRate } from './fadingRate';
@@ -16,9 +19,13 @@
 /** From this part of what was held after the last answer down, tokens are asked for. */
 const ASK_BELOW = 0.8;
 /** Shortest time between two questions for one customer, ms: the way to any region and back, and some. */
-const ASK_APART_MS = 100;
+export const ASK_APART_MS = 100;
 /** An instance that holds enough says so this often, ms: the lender counts on it. */
 const TELL_EVERY_MS = 1200;
+/** A request waits for a token no longer than this, ms: the lender's answer, and that to a second question. */
+export const WAIT_MOST_MS = 200;
+/** That the lender has nothing to lend, or did not answer, holds for this long, ms. */
+const EXHAUSTED_MS = 300;
 /** The longest time after which a caller is told to come back, ms. */
 const RETRY_MOST_MS = 10_000;
 /** The shortest, ms: tokens that were asked for come within this. */
@@ -37,6 +44,16 @@
   shareUsed: number;
   /** The customer's requests a second there, taken or not. */
   demand: number;
+  /** Requests that wait there for a token. */
+  waiting: number;
+}
+
+/** Told to one request: whether it may go. */
+type Decide = (isAdmitted: boolean) => void;
+
+interface WaitingRequest {
+  decide: Decide;
+  until: number;
 }
 
 /** One customer at one instance. Times on the steady clock, ms. */
@@ -61,6 +78,14 @@
 
   private readonly lent = new FadingRate(LENT_OVER_MS);
 
+  /** Requests that waited when the lender was last asked. */
+  private askedFor = 0;
+
+  /** When the lender last had nothing to lend, or did not answer. */
+  private exhaustedAt = -Infinity;
+
+  private waiting: WaitingRequest[] = [];
+
   /** The last moment for which a caller was told to come back. */
   private promisedAt = 0;
 
@@ -81,6 +106,36 @@
   /** Takes one token; false when there is none. */
   take(now: number): boolean {
     this.demand.add(now);
+    return this.takeToken(now);
+  }
+
+  /** Takes a token for a request, which waits for one if the lender may have some; `decide` is called once. */
+  request(decide: Decide, now: number): void {
+    if (this.take(now)) decide(true);
+    else if (now - this.exhaustedAt < EXHAUSTED_MS) decide(false);
+    else this.waiting.push({ decide, until: now + WAIT_MOST_MS });
+  }
+
+  /** Decides on the requests that have waited for long enough. */
+  expire(now: number): void {
+    this.settle(now);
+    const due = this.waiting.filter(({ until }) => until <= now);
+    this.waiting = this.waiting.filter(({ until }) => until > now);
+    due.forEach(({ decide }) => decide(false));
+  }
+
+  /** How many requests wait. */
+  get waits(): number {
+    return this.waiting.length;
+  }
+
+  private settle(now: number): void {
+    while (this.waiting.length > 0 && this.takeToken(now)) this.waiting.shift()?.decide(true);
+    if (now - this.exhaustedAt >= EXHAUSTED_MS) return;
+    this.waiting.splice(0).forEach(({ decide }) => decide(false));
+  }
+
+  private takeToken(now: number): boolean {
     this.lapse(now);
     // Lent ones first: a share that is left full is of use when the lender is lost.
     if (this.stock >= 1) {
@@ -119,7 +174,8 @@
     if (now - this.askedAt < ASK_APART_MS) return undefined;
     this.lapse(now);
     const demand = this.demand.perSecond(now);
-    const isIdle = demand < IDLE_PER_SECOND;
+    const waiting = this.waits;
+    const isIdle = demand < IDLE_PER_SECOND && waiting === 0;
     if (isIdle) this.giveBack(this.stock);
     const { stock, back, shareUsed } = this;
     if (isIdle && back === 0 && shareUsed === 0) return undefined;
@@ -128,7 +184,8 @@
     this.back = 0;
     this.shareUsed = 0;
     this.askedAt = now;
-    return { stock, back, shareUsed, demand: Number(demand.toFixed(2)) };
+    this.askedFor = waiting;
+    return { stock, back, shareUsed, demand: Number(demand.toFixed(2)), waiting };
   }
 
   /** Takes the lender's answer: tokens, or how many it wants back (below 0). */
@@ -138,6 +195,14 @@
     else this.stock += tokens;
     this.stocked = this.stock;
     if (tokens > 0) this.lent.add(now, tokens);
+    if (this.askedFor > 0 && tokens <= 0) this.exhaustedAt = now;
+    this.settle(now);
+  }
+
+  /** Takes it that there is no lender, or that it did not answer. */
+  unanswered(now: number): void {
+    this.exhaustedAt = now;
+    this.settle(now);
   }
 
   /** What it holds, for the log. */
--- a/packages/customers/src/quota/tokenPool.ts
+++ b/packages/customers/src/quota/tokenPool.ts
@@ -61,7 +61,7 @@
   /** What a borrower gets, or, below 0, is to give back, while `part` of the limit is lent here. */
   lend(
     id: InstanceId,
-    { stock, back, shareUsed, demand }: TokenNeed,
+    { stock, back, shareUsed, demand, waiting }: TokenNeed,
     part: number,
     now: number,
   ): number {
@@ -74,7 +74,8 @@
     const held = this.held(now);
     const available = this.available(part, held, now);
     const all = (available + held) * PART_LENT;
-    const share = Math.round((all * borrower.demand) / this.demand(now));
+    // Where a customer has more instances than tokens, its requests get them as they come.
+    const share = Math.max(waiting, Math.floor((all * borrower.demand) / this.demand(now)));
     if (stock > share * CALL_BACK_FROM) return share - stock;
     const atATime = Math.min(Math.floor(available), Math.ceil(available * PART_AT_A_TIME));
     const lent = this.bucket.take(Math.max(0, Math.min(share - stock, atATime)), now);
--- a/packages/gateway/src/quota/quotas.ts
+++ b/packages/gateway/src/quota/quotas.ts
@@ -1,6 +1,12 @@
 /** The quotas of one instance: admission by what it may take, lending to its peers, and asking them. */
-import type { Customer, QuotaTolerance } from '@cardamomladder/customers';
-import { Allowances, Lender, keeperOf, keepersAmong } from '@cardamomladder/customers';
+import type { Allowance, Customer, QuotaTolerance } from '@cardamomladder/customers';
+import {
+  Allowances,
+  Lender,
+  WAIT_MOST_MS,
+  keeperOf,
+  keepersAmong,
+} from '@cardamomladder/customers';
 import type { Beliefs, InstanceEntry } from '@cardamomladder/fleet';
 import type { InstanceId } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
@@ -32,8 +38,8 @@
 
 /** The quotas of one instance. */
 export interface Quotas {
-  /** Takes a token for one request of a customer. */
-  admit: (customer: Customer) => Admission;
+  /** Takes a token for one request of a customer, which may have to wait for it. */
+  admit: (customer: Customer) => Admission | Promise<Admission>;
   /** Puts the token of a request back that did not run. */
   putBack: (customer: Customer) => void;
   /** What is known of a customer's limit here, for the log. */
@@ -50,6 +56,23 @@
 const sameInstances = (some: readonly InstanceEntry[], others: readonly InstanceEntry[]) =>
   some.length === others.length && some.every(({ id }, i) => id === others[i].id);
 
+/** Whether a request may go; a promise while it waits for a token. */
+const decisionOf = (allowance: Allowance, now: () => number): Admission | Promise<Admission> => {
+  let decided: Admission | undefined;
+  let resolve: ((admission: Admission) => void) | undefined;
+  allowance.request((isAdmitted) => {
+    decided = isAdmitted
+      ? ADMITTED
+      : { kind: 'over-limit', retryAfterMs: allowance.comeBackInMs(now()) };
+    resolve?.(decided);
+  }, now());
+  if (decided) return decided;
+  setTimeout(() => allowance.expire(now()), WAIT_MOST_MS);
+  return new Promise((settle) => {
+    resolve = settle;
+  });
+};
+
 /** Starts an instance's quotas. */
 export const startQuotas = (options: QuotaOptions): Quotas => {
   const { self, beliefs, named, tolerance, storeHeardMsAgo, log, now } = options;
@@ -108,10 +131,9 @@
     admit: ({ name }) => {
       const allowance = allowances.of(name);
       if (!allowance) return ADMITTED;
-      const isAdmitted = allowance.take(now());
+      const decision = decisionOf(allowance, now);
       if (allowance.isShort(now())) rounds.hurry(name);
-      if (isAdmitted) return ADMITTED;
-      return { kind: 'over-limit', retryAfterMs: allowance.comeBackInMs(now()) };
+      return decision;
     },
     putBack: ({ name }) => allowances.of(name)?.putBack(now()),
     describe: ({ name, limit }) => ({
--- a/packages/gateway/src/quota/tokenFormat.ts
+++ b/packages/gateway/src/quota/tokenFormat.ts
@@ -7,7 +7,14 @@
 
 const count = z.number().int().min(0);
 const name = z.string().min(1).transform(customerName);
-const need = z.object({ stock: count, back: count, shareUsed: count, demand: z.number().min(0) });
+const need = z.object({
+  stock: count,
+  back: count,
+  shareUsed: count,
+  demand: z.number().min(0),
+  // An older version does not say.
+  waiting: count.default(0),
+});
 
 /** A question: by customer, what the asker holds, gives back, and is asked for. */
 export const tokenQuestion = z.object({
--- a/packages/gateway/src/quota/tokenRounds.ts
+++ b/packages/gateway/src/quota/tokenRounds.ts
@@ -3,7 +3,7 @@
  * question to each, for all customers that it keeps.
  */
 import type { Allowances, TokenNeed } from '@cardamomladder/customers';
-import { IN_TOUCH_EVERY_MS } from '@cardamomladder/customers';
+import { ASK_APART_MS, IN_TOUCH_EVERY_MS } from '@cardamomladder/customers';
 import type { InstanceEntry } from '@cardamomladder/fleet';
 import type { CustomerName, InstanceId } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
@@ -69,22 +69,35 @@
     const answer = await peerClient(peerAddress, ANSWER_WITHIN_MS).tokens.mutate(question);
     return tokenAnswer.parse(answer);
   };
+  const receive = ([customer, tokens]: TokenAnswer['lent'][number]): void => {
+    const allowance = allowances.of(customer);
+    allowance?.receive(tokens, now());
+    // These came after the question was asked.
+    if (allowance && allowance.waits > 0) setTimeout(() => hurry(customer), ASK_APART_MS);
+  };
   const ask = async ({ keeper, needs }: Asked): Promise<void> => {
     spokenAt.set(keeper.id, now());
     const question = { asker: self, needs };
     const { lent } = keeper.id === self ? lend(question) : await askPeer(keeper, question);
-    lent.forEach(([customer, tokens]) => allowances.of(customer)?.receive(tokens, now()));
+    lent.forEach(receive);
   };
   const askAll = (questions: readonly Asked[]): void =>
     questions.forEach((asked) => {
-      ask(asked).catch((error: Error) =>
+      ask(asked).catch((error: Error) => {
+        asked.needs.forEach(([customer]) => allowances.of(customer)?.unanswered(now()));
         log.write('quota', undefined, {
           event: 'lender did not answer',
           peer: asked.keeper.id,
           reason: error.message,
-        }),
-      );
+        });
+      });
     });
+  function hurry(customer: CustomerName): void {
+    const allowance = allowances.of(customer);
+    if (allowance && !keeperOf(customer)) allowance.unanswered(now());
+    const need = allowance?.need(now());
+    if (need) askAll(byKeeper(new Map([[customer, need]]), keeperOf));
+  }
   const isDue = ({ id }: InstanceEntry): boolean =>
     id !== self && now() - (spokenAt.get(id) ?? -Infinity) >= IN_TOUCH_EVERY_MS;
   const round = (): void => {
@@ -97,10 +110,7 @@
   };
   const timer = setInterval(round, ROUND_MS);
   return {
-    hurry: (customer) => {
-      const need = allowances.of(customer)?.need(now());
-      if (need) askAll(byKeeper(new Map([[customer, need]]), keeperOf));
-    },
+    hurry,
     stop: () => clearInterval(timer),
   };
 };
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -26,6 +26,7 @@
 import type { ServeContext, ServeOutcome } from '../requests/serving';
 import { WaitedBefore } from '../requests/waitedBefore';
 import { CREDENTIALS_HEADER } from '../wireNames';
+import { admit } from './admit';
 import { CallerConnections } from './callerConnections';
 import { countCustomer, refusals } from './refusals';
 
@@ -130,7 +131,8 @@
       );
       return;
     }
-    const admission = customer ? quotas.admit(customer) : undefined;
+    const admission = customer && (await admit(quotas, customer, res));
+    if (admission?.kind === 'left') return;
     if (customer && admission?.kind === 'over-limit') {
       refuse.overLimit(res, id, customer, admission.retryAfterMs);
       return;
