--- a/packages/load/src/__tests__/limitedTargets.test.ts
+++ b/packages/load/src/__tests__/limitedTargets.test.ts
@@ -1,6 +1,7 @@
 /** Lookups while some targets are in need and name a limit, in virtual time: what callers and targets get. */
 import { describe, expect, it } from 'vitest';
-import { playLoad, productRule } from '..';
+import { playLoad } from '..';
+import { LOOKUPS, SLOTS, isAmong } from '../__fixtures__/lookups';
 
 const IN_NEED_FROM_MS = 4000;
 const IN_NEED_TO_MS = 14_000;
@@ -12,19 +13,11 @@
 /** 18 targets at half of their slots; a part of them works with one slot and names its limit for ten seconds. */
 const lookups = (seed: number, part: number, instancesPerRegion: number, heedsTargets: boolean) => {
   const arrivals = new Map<number, number[]>();
-  const inNeed = (target: number) => target % 6 < part * 6;
+  const inNeed = (target: number) => isAmong(target, part);
   const report = playLoad({
     seed,
-    targetsPerRegion: { rvk: 6, aey: 6, egs: 6 },
-    target: { slots: 6, queue: 18, workMs: 480, warmGain: 0.6, remembers: 60 },
-    objectsPerRegion: 120,
+    ...LOOKUPS,
     instancesPerRegion,
-    rate: () => 50,
-    lengthMs: 16_000,
-    objectiveMs: 400,
-    deadlineMs: 2500,
-    betweenRegionsMs: 20,
-    rule: productRule,
     heedsTargets,
     onArrival: (target, at) => {
       const binds = at > IN_NEED_FROM_MS + BINDS_MS && at < IN_NEED_TO_MS;
@@ -33,7 +26,7 @@
     disturb: (at, targets) =>
       targets.forEach((target, i) => {
         const now = inNeed(i) && at >= IN_NEED_FROM_MS && at < IN_NEED_TO_MS;
-        target.openSlots = now ? 1 : 6;
+        target.openSlots = now ? 1 : SLOTS;
         target.limitPerSecond = now ? LIMIT : undefined;
       }),
   });
--- a/packages/load/src/__tests__/pausingTargets.test.ts
+++ b/packages/load/src/__tests__/pausingTargets.test.ts
@@ -1,6 +1,7 @@
 /** Lookups while some targets shed all their work and ask for a pause, in virtual time: what callers get. */
 import { describe, expect, it } from 'vitest';
-import { playLoad, productRule } from '..';
+import { playLoad } from '..';
+import { LOOKUPS, isAmong } from '../__fixtures__/lookups';
 
 const SHED_FROM_MS = 4000;
 const SHED_TO_MS = 12_000;
@@ -10,18 +11,10 @@
 const lookups = (seed: number, part: number, heedsTargets: boolean) => {
   let turnedAway = 0;
   const sheds = (target: number, at: number) =>
-    target % 6 < part * 6 && at >= SHED_FROM_MS && at < SHED_TO_MS;
+    isAmong(target, part) && at >= SHED_FROM_MS && at < SHED_TO_MS;
   const report = playLoad({
     seed,
-    targetsPerRegion: { rvk: 6, aey: 6, egs: 6 },
-    target: { slots: 6, queue: 18, workMs: 480, warmGain: 0.6, remembers: 60 },
-    objectsPerRegion: 120,
-    rate: () => 50,
-    lengthMs: 16_000,
-    objectiveMs: 400,
-    deadlineMs: 2500,
-    betweenRegionsMs: 20,
-    rule: productRule,
+    ...LOOKUPS,
     heedsTargets,
     onArrival: (target, at) => {
       if (sheds(target, at)) turnedAway += 1;
--- a/packages/load/src/player/play.ts
+++ b/packages/load/src/player/play.ts
@@ -6,26 +6,8 @@
  */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type {
-  HeardLimit,
-  Locality,
-  PlacedTarget,
-  Placement,
-  PlacementOutcome,
-  ServicePool,
-  TargetFacts,
-} from '@cardamomladder/steering';
-import {
-  HelpAbroad,
-  LongestAnswer,
-  Rankings,
-  ReportFade,
-  learnAnswerMs,
-  limitShare,
-  newTarget,
-  overdueAfter,
-  place,
-} from '@cardamomladder/steering';
+import type { HeardLimit, Locality, PlacedTarget } from '@cardamomladder/steering';
+import { learnAnswerMs, overdueAfter } from '@cardamomladder/steering';
 import {
   failureDomainName,
   objectKey,
@@ -34,16 +16,12 @@
   targetId,
 } from '@cardamomladder/types';
 import { EventQueue } from './eventQueue';
+import type { PlacingRule } from './placingRules';
+import type { PlayedInstance } from './playedInstances';
+import { playedInstances } from './playedInstances';
 import type { PlayedTargetOptions } from './playedTarget';
 import { PlayedTarget } from './playedTarget';
 
-/** Chooses a target; the product's `place`, or a baseline to compare with. */
-export type PlacingRule = (
-  request: Placement,
-  pool: ServicePool,
-  rankings: Rankings,
-) => PlacementOutcome;
-
 /** A load to play. Rates are requests per second for the whole fleet. */
 export interface PlayedLoadOptions {
   seed: number;
@@ -95,20 +73,6 @@
 const AVOID_FIRST_MS = 400;
 const AVOID_MOST_MS = 3000;
 const LOOK_MS = 250;
-const DEFAULT_INSTANCES = 3;
-
-/** The product's placing. */
-export const productRule: PlacingRule = place;
-
-/** The baseline: the least busy target with room, whoever remembers the object. */
-export const anyWithRoom: PlacingRule = (request, pool) => {
-  const open = pool.targets.filter((t) => t.load.busyAt(request.now) < t.slots * 1.3);
-  if (open.length === 0) return { kind: 'rejected', reason: 'full', retryAfterMs: 250 };
-  const target = open.reduce((best, t) =>
-    t.load.busyAt(request.now) < best.load.busyAt(request.now) ? t : best,
-  );
-  return { kind: 'placed', target };
-};
 
 /** Random numbers from 0 to 1, the same for a seed each time. */
 export const seeded = (seed: number): (() => number) => {
@@ -116,12 +80,6 @@
   return () => uniformFloat64(generator);
 };
 
-/** One instance's view of all targets. */
-const targetsOf = (facts: readonly TargetFacts[]): PlacedTarget[] => {
-  const fade = new ReportFade(() => facts.length);
-  return facts.map((each) => newTarget(each, fade));
-};
-
 /** What an answer tells an instance of its target's limit and pause. */
 const hearTarget = (
   { selfReport }: PlacedTarget,
@@ -134,13 +92,6 @@
   Object.assign(selfReport, { restUntil: Math.max(selfReport.restUntil, now + pauseMs) });
 };
 
-interface PlayedInstance {
-  region: string;
-  pool: ServicePool;
-  rankings: Rankings;
-  longest: { remembered: LongestAnswer; first: LongestAnswer };
-}
-
 /** Draws an object's number, by its part of a region's requests. */
 const objectDraw = ({ objectsPerRegion, skew = 0 }: PlayedLoadOptions, random: () => number) => {
   const upTo: number[] = [];
@@ -170,32 +121,7 @@
     region: regionName(region),
     slots: options.target.slots,
   }));
-  const demand = new Map(regions.map((region) => [regionName(region), 1]));
-  const perRegion = options.instancesPerRegion ?? DEFAULT_INSTANCES;
-  const names = regions.flatMap((region) =>
-    Array.from({ length: perRegion }, (_, i) => `${region}-instance-${i}`),
-  );
-  const sharers = { ids: names, size: names.length };
-  const instances = regions.flatMap((region, r): PlayedInstance[] =>
-    Array.from({ length: perRegion }, (_, i) => ({
-      region,
-      rankings: new Rankings(),
-      longest: { remembered: new LongestAnswer(), first: new LongestAnswer() },
-      pool: {
-        targets: targetsOf(facts),
-        generation: 1,
-        ownRegion: regionName(region),
-        ownDomain: failureDomainName(region),
-        demand,
-        domainDemand: new Map([[failureDomainName(region), 1]]),
-        helpAbroad: new HelpAbroad(),
-        evacuated: () => false,
-        coldShare: () => 1,
-        limitShare: ({ id }, perSecond) =>
-          limitShare(id, names[r * perRegion + i], sharers, perSecond),
-      },
-    })),
-  );
+  const instances = playedInstances(facts, regions, options.instancesPerRegion);
   const report: PlayedReport = {
     asked: 0,
     inObjective: 0,
