--- a/packages/cli/src/__tests__/explain.test.ts
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -29,6 +29,12 @@
     expect(explainRequest('1a76a20210d2bd2a', [refusals])).toMatchSnapshot();
   });
 
+  it('tells why a request was held back: what its targets had said of themselves', () => {
+    const file = join(import.meta.dirname, '../__fixtures__/heldBack.log.txt');
+    const heldBack = { name: 'held back', text: readFileSync(file, 'utf8') };
+    expect(explainRequest('pressed-277', [heldBack])).toMatchSnapshot();
+  });
+
   it('says when lines were left out, and survives lines that are not ours', () => {
     const text = 'garbage\n{"broken":\n{"message":"send","request":"x","leftOut":3}\n';
     expect(explainRequest('unknown', [{ name: 'log', text }])).toMatchSnapshot();
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -21,6 +21,8 @@
 
 /** Beliefs that stay in force until the next line of their kind. */
 const STANDING = new Set(['belief', 'store', 'registration', 'lifecycle']);
+/** What targets said of themselves: it stands until the next line of its kind for the same target. */
+const SELF_REPORTS = new Set(['target-limit', 'target-leaving', 'target-rest']);
 /** Standing lines shown before a request's first line, per source: the newest of each subject. */
 const OMITTED = new Set(['time', 'level', 'ns', 'message', 'request']);
 
@@ -39,7 +41,7 @@
 };
 
 const subjectOf = ({ message, fields }: LogLine): string => {
-  const subject = fields.id ?? fields.failureDomain ?? fields.key ?? '';
+  const subject = fields.id ?? fields.target ?? fields.failureDomain ?? fields.key ?? '';
   return `${message}/${String(fields.change ?? '')}/${String(subject)}`;
 };
 
@@ -65,13 +67,15 @@
   const [first] = own;
   const targets = targetsIn(own);
   const newest = new Map<string, LogLine>();
+  const isOfOthers = ({ message, fields }: LogLine): boolean => {
+    if (SELF_REPORTS.has(message)) return !targets.has(String(fields.target));
+    const names = ['target', 'target-gone', 'instance', 'instance-gone'];
+    return names.includes(String(fields.change)) && !targets.has(String(fields.id));
+  };
   lines
-    .filter((l) => STANDING.has(l.message) && l.source === first.source && l.time <= first.time)
-    .filter(
-      ({ fields }) =>
-        !['target', 'target-gone', 'instance', 'instance-gone'].includes(String(fields.change)) ||
-        targets.has(String(fields.id)),
-    )
+    .filter(({ message }) => STANDING.has(message) || SELF_REPORTS.has(message))
+    .filter(({ source, time }) => source === first.source && time <= first.time)
+    .filter((line) => !isOfOthers(line))
     .forEach((line) => newest.set(subjectOf(line), line));
   return [...newest.values()].sort((a, b) => (a.time < b.time ? -1 : 1));
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -121,7 +121,7 @@
   ctx.log.write('rejected', request.id, () => ({
     reason,
     sends,
-    retryAfterMs,
+    retryAfterMs: Math.round(retryAfterMs),
     route: request.route.name,
     service: request.service,
     customer: request.customer?.name,
