--- a/packages/customers/src/quota/lender.ts
+++ b/packages/customers/src/quota/lender.ts
@@ -85,7 +85,10 @@
     const { self, holders, now } = this.options;
     const { ids, size } = holders();
     const since = now() - IN_TOUCH_MS;
-    const inTouch = ids.filter((id) => id === self || (this.spokeAt.get(id) ?? -Infinity) >= since);
+    this.spokeAt.forEach((at, id) => {
+      if (at < since) this.spokeAt.delete(id);
+    });
+    const inTouch = ids.filter((id) => id === self || this.spokeAt.has(id));
     return Math.max(1, inTouch.length) / Math.max(1, size);
   }
 
--- /dev/null
+++ b/packages/gateway/src/targets/regionDemand.ts
@@ -0,0 +1,24 @@
+/** Where requests come from: the parts of regions and of failure domains. */
+import type { FailureDomainName, RegionName } from '@cardamomladder/types';
+import { failureDomainName, regionName } from '@cardamomladder/types';
+
+/** Each region's part of all requests: callers stand in every failure domain alike. */
+export const demandOf = (domains: Readonly<Record<string, string>>): Map<RegionName, number> => {
+  const parts = new Map<RegionName, number>();
+  Object.values(domains).forEach((name) => {
+    const region = regionName(name);
+    parts.set(region, (parts.get(region) ?? 0) + 1);
+  });
+  return parts;
+};
+
+/** Each failure domain's part of its region's requests. */
+export const domainDemandOf = (
+  domains: Readonly<Record<string, string>>,
+  region: RegionName,
+): Map<FailureDomainName, number> =>
+  new Map(
+    Object.entries(domains)
+      .filter(([, name]) => name === region)
+      .map(([domain]) => [failureDomainName(domain), 1]),
+  );
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -23,13 +23,14 @@
   ServiceName,
   TargetId,
 } from '@cardamomladder/types';
-import { failureDomainName, regionName, splitAddress } from '@cardamomladder/types';
+import { regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
 import type { NamedInstances } from '../lifecycle/namedInstances';
 import { TargetConnections } from './connections';
 import { IdleLimit } from './idleLimit';
 import { KnownShares } from './knownShares';
 import { LapsedTargets } from './lapsedTargets';
+import { demandOf, domainDemandOf } from './regionDemand';
 import { compareRuns } from './runs';
 
 /** A target with its connections and address. */
@@ -75,27 +76,6 @@
 /** Smallest share of a target's connections one instance keeps for itself. */
 const LEAST_CONNECTIONS = 4;
 
-/** Each region's part of all requests: callers stand in every failure domain alike. */
-const demandOf = (domains: Readonly<Record<string, string>>): Map<RegionName, number> => {
-  const parts = new Map<RegionName, number>();
-  Object.values(domains).forEach((name) => {
-    const region = regionName(name);
-    parts.set(region, (parts.get(region) ?? 0) + 1);
-  });
-  return parts;
-};
-
-/** Each failure domain's part of its region's requests. */
-const domainDemandOf = (
-  domains: Readonly<Record<string, string>>,
-  region: RegionName,
-): Map<FailureDomainName, number> =>
-  new Map(
-    Object.entries(domains)
-      .filter(([, name]) => name === region)
-      .map(([domain]) => [failureDomainName(domain), 1]),
-  );
-
 /** All targets by service. */
 export class TargetRegistry {
   private readonly targets = new Map<TargetId, ReachableTarget>();
