--- a/packages/gateway/src/peers/__fixtures__/playedMembers.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedMembers.ts
@@ -68,6 +68,19 @@
   };
 };
 
+/** An answer that comes in time; undefined for none. */
+const within = async <T>(ms: number, given: Promise<T> | undefined): Promise<T | undefined> => {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<undefined>((resolve) => {
+    timer = setTimeout(() => resolve(undefined), ms);
+  });
+  try {
+    return await (given ? Promise.race([given, late]) : late);
+  } finally {
+    clearTimeout(timer);
+  }
+};
+
 const gone = (reason: string): FailedCall => new FailedCall('unavailable', reason);
 
 /** The members of one fleet. */
@@ -151,7 +164,7 @@
     if (!to) throw gone('refused');
     const isCut = () => from.cut === 'all' || to.cut === 'all';
     const given = isCut() ? undefined : answer(to);
-    const value = await Promise.race([given ?? pause(withinMs), pause(withinMs)]);
+    const value = await within(withinMs, given);
     if (isCut() || !given || value === undefined) throw gone('silent');
     if (!this.live.has(at)) throw gone('closed');
     return value;
