--- a/packages/customers/src/index.ts
+++ b/packages/customers/src/index.ts
@@ -5,7 +5,7 @@
 export { customerTable, identify } from './identify';
 export type { TokenNeed } from './quota/allowance';
 export { ASK_APART_MS, Allowance, WAIT_MOST_MS } from './quota/allowance';
-export type { AllowanceOptions, FloorHolders } from './quota/allowances';
+export type { AllowanceOptions } from './quota/allowances';
 export { Allowances } from './quota/allowances';
 export { keeperOf, keepersAmong } from './quota/keeper';
 export type { LenderOptions } from './quota/lender';
--- a/packages/customers/src/quota/__fixtures__/playedQuota.ts
+++ b/packages/customers/src/quota/__fixtures__/playedQuota.ts
@@ -2,6 +2,7 @@
  * One customer's requests at a fleet, in virtual time: how many are taken in any
  * window, and how many are turned away that one bucket for all would have taken.
  */
+import { mostInWindow } from '@cardamomladder/load';
 import { customerName, instanceId } from '@cardamomladder/types';
 import type { InstanceId } from '@cardamomladder/types';
 import type { RateLimit } from '../../customer';
@@ -74,13 +75,7 @@
   const seconds = TOLERANCE.windowMs / MS_PER_SECOND;
   const tolerated =
     (limit.perSecond * seconds + limit.burst) * (1 + TOLERANCE.overage) + TOLERANCE.slack;
-  let first = 0;
-  let most = 0;
-  taken.forEach((at, i) => {
-    while (at - taken[first] > TOLERANCE.windowMs) first += 1;
-    most = Math.max(most, i - first + 1);
-  });
-  return most / tolerated;
+  return mostInWindow(taken, TOLERANCE.windowMs) / tolerated;
 };
 
 /** Plays `build`'s way of sharing. */
--- a/packages/customers/src/quota/allowances.ts
+++ b/packages/customers/src/quota/allowances.ts
@@ -1,4 +1,5 @@
 /** This instance's allowances of all customers that have a limit. */
+import type { Sharers } from '@cardamomladder/steering';
 import type { CustomerName, InstanceId } from '@cardamomladder/types';
 import type { Customer, RateLimit } from '../customer';
 import type { TokenNeed } from './allowance';
@@ -7,19 +8,12 @@
 import type { QuotaTolerance } from './quotaParts';
 import { quotaParts } from './quotaParts';
 
-/** The instances that share what is spread evenly. */
-export interface FloorHolders {
-  ids: readonly InstanceId[];
-  /** How many to divide by; at least as many as are named. */
-  size: number;
-}
-
 /** What allowances need to know of the fleet. */
 export interface AllowanceOptions {
   self: InstanceId;
   tolerance: QuotaTolerance;
   /** The same object until it changes. */
-  holders: () => FloorHolders;
+  holders: () => Sharers;
   /** When this process started: what came due since then was used by nobody here. */
   startedAt: number;
   /** Steady clock, ms. */
@@ -30,7 +24,7 @@
   customer: Customer;
   allowance: Allowance;
   /** What the share was worked out for. */
-  sharedBy: FloorHolders;
+  sharedBy: Sharers;
 }
 
 /** Allowances by customer, made when a customer's first request comes. */
@@ -78,7 +72,7 @@
     return needs;
   }
 
-  private add(customer: Customer, sharedBy: FloorHolders): Kept {
+  private add(customer: Customer, sharedBy: Sharers): Kept {
     const since = this.limitedSince?.get(customer.name) ?? this.options.now();
     const allowance = new Allowance(this.shareOf(customer, sharedBy), since);
     const kept = { customer, allowance, sharedBy };
@@ -90,7 +84,7 @@
     allowance.resize(this.shareOf(customer, sharedBy), this.options.now());
   }
 
-  private shareOf({ name, limit }: Customer, { ids, size }: FloorHolders): RateLimit {
+  private shareOf({ name, limit }: Customer, { ids, size }: Sharers): RateLimit {
     const { self, tolerance } = this.options;
     const { floor } = quotaParts(limit ?? { perSecond: 0, burst: 0 }, tolerance);
     return floorShare(name, floor, self, ids, size);
--- a/packages/customers/src/quota/lender.ts
+++ b/packages/customers/src/quota/lender.ts
@@ -7,10 +7,10 @@
  * that is in touch with it; whoever asks one does not ask the other, and the
  * parts add up to the limit.
  */
+import type { Sharers } from '@cardamomladder/steering';
 import type { CustomerName, InstanceId } from '@cardamomladder/types';
 import type { Customer, RateLimit } from '../customer';
 import type { TokenNeed } from './allowance';
-import type { FloorHolders } from './allowances';
 import type { QuotaTolerance } from './quotaParts';
 import { quotaParts } from './quotaParts';
 import { TokenPool } from './tokenPool';
@@ -33,7 +33,7 @@
   /** True while this instance is the customer's keeper, as far as it knows. */
   isKeeper: (customer: CustomerName) => boolean;
   /** The instances that take callers. */
-  holders: () => FloorHolders;
+  holders: () => Sharers;
   /** When this process started. */
   startedAt: number;
   /** Steady clock, ms. */
--- a/packages/gateway/src/lifecycle/namedInstances.ts
+++ b/packages/gateway/src/lifecycle/namedInstances.ts
@@ -5,7 +5,7 @@
  */
 import type { Beliefs, InstanceEntry } from '@cardamomladder/fleet';
 import { strongOf } from '@cardamomladder/fleet';
-import type { FloorHolders } from '@cardamomladder/customers';
+import type { Sharers } from '@cardamomladder/steering';
 import type { InstanceId } from '@cardamomladder/types';
 import { UNSETTLED_SIZE } from './fleetMembers';
 import { LatelyGone } from './latelyGone';
@@ -30,7 +30,7 @@
 
   private named = new Set<InstanceId>();
 
-  private held: FloorHolders | undefined;
+  private held: Sharers | undefined;
 
   private stale = true;
 
@@ -48,7 +48,7 @@
   }
 
   /** The instances to divide by; the same object until that changes. */
-  holders(): FloorHolders {
+  holders(): Sharers {
     if (this.stale) this.look();
     if (this.gone.forget()) this.held = undefined;
     this.held ??= this.count();
@@ -71,7 +71,7 @@
     this.held = undefined;
   }
 
-  private count(): FloorHolders {
+  private count(): Sharers {
     const ids = [...this.named, ...this.gone.ids()];
     return { ids, size: Math.max(this.settled ? 1 : UNSETTLED_SIZE, ids.length) };
   }
--- a/packages/gateway/src/targets/__tests__/registry.test.ts
+++ b/packages/gateway/src/targets/__tests__/registry.test.ts
@@ -4,6 +4,7 @@
 import { Beliefs } from '@cardamomladder/fleet';
 import {
   failureDomainName,
+  instanceId,
   objectKey,
   regionName,
   serviceName,
@@ -36,7 +37,7 @@
     named: new NamedInstances(beliefs, now),
     ownRegion: regionName('north'),
     ownDomain: failureDomainName('north-a'),
-    self: 'i-1',
+    self: instanceId('i-1'),
     domains: { 'north-a': 'north' },
     coldOverage: 1.5,
     coldSlack: 5,
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -2,10 +2,9 @@
  * The targets this instance may send to: what the registry says of them, what
  * their answers taught, and their connections. Follows beliefs.
  */
-import type { FloorHolders } from '@cardamomladder/customers';
 import type { Beliefs, BeliefChange, TargetEntry } from '@cardamomladder/fleet';
 import type { Configuration, Service } from '@cardamomladder/routing';
-import type { LimitShare, PlacedTarget, ServicePool } from '@cardamomladder/steering';
+import type { LimitShare, PlacedTarget, ServicePool, Sharers } from '@cardamomladder/steering';
 import {
   HelpAbroad,
   LongestAnswer,
@@ -60,7 +59,7 @@
   beliefs: Beliefs;
   ownRegion: RegionName;
   ownDomain: FailureDomainName;
-  self: string;
+  self: InstanceId;
   /** Region of each failure domain. */
   domains: Readonly<Record<string, string>>;
   fleet: FleetMembers;
@@ -88,7 +87,7 @@
 
   private readonly coldShares: KnownShares<readonly InstanceId[], number>;
 
-  private readonly limitShares: KnownShares<FloorHolders, LimitShare>;
+  private readonly limitShares: KnownShares<Sharers, LimitShare>;
 
   private readonly lapsed: LapsedTargets;
 
--- a/packages/load/src/__tests__/limitedTargets.test.ts
+++ b/packages/load/src/__tests__/limitedTargets.test.ts
@@ -1,6 +1,6 @@
 /** Lookups while some targets are in need and name a limit, in virtual time: what callers and targets get. */
 import { describe, expect, it } from 'vitest';
-import { playLoad } from '..';
+import { mostInWindow, playLoad } from '..';
 import { LOOKUPS, SLOTS, isAmong } from '../__fixtures__/lookups';
 
 const IN_NEED_FROM_MS = 4000;
@@ -32,9 +32,7 @@
   });
   const worst = Math.max(
     0,
-    ...[...arrivals.values()].flatMap((times) =>
-      times.map((from, i) => times.slice(i).filter((at) => at - from <= WINDOW_MS).length),
-    ),
+    ...[...arrivals.values()].map((times) => mostInWindow(times, WINDOW_MS)),
   );
   return { report, worst };
 };
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,3 +1,4 @@
+export { mostInWindow } from './mostInWindow';
 export type { LoadPlan, LoadReport, Mix, ServiceReport } from './run';
 export { runLoad } from './run';
 export type { PlayedLoadOptions, PlayedReport } from './player/play';
--- a/packages/load/src/player/playedInstances.ts
+++ b/packages/load/src/player/playedInstances.ts
@@ -8,7 +8,7 @@
   limitShare,
   newTarget,
 } from '@cardamomladder/steering';
-import { failureDomainName, regionName } from '@cardamomladder/types';
+import { failureDomainName, instanceId, regionName } from '@cardamomladder/types';
 
 const DEFAULT_INSTANCES = 3;
 
@@ -34,7 +34,10 @@
 ): PlayedInstance[] => {
   const demand = new Map(regions.map((region) => [regionName(region), 1]));
   const places = regions.flatMap((region) =>
-    Array.from({ length: perRegion }, (_, i) => ({ region, name: `${region}-instance-${i}` })),
+    Array.from({ length: perRegion }, (_, i) => ({
+      region,
+      name: instanceId(`${region}-instance-${i}`),
+    })),
   );
   const sharers = { ids: places.map(({ name }) => name), size: places.length };
   return places.map(({ region, name }) => ({
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -2,6 +2,7 @@
  * The promises a soak checks, from what callers and targets saw. A violation
  * names the request and what was seen; it never depends on the logs.
  */
+import { mostInWindow } from '@cardamomladder/load';
 import type { Disturbances } from './disturbances';
 
 /** How often a request may run. */
@@ -184,12 +185,8 @@
       .filter(([first]) => first.customer === customer)
       .map((all) => Math.min(...all.map(({ at }) => at)))
       .sort((a, b) => a - b);
-    let first = 0;
-    ran.forEach((at, i) => {
-      while (at - ran[first] > windowMs) first += 1;
-      const count = i - first + 1;
-      if (count > most) this.break('limit', customer, `${count} requests in a window, not ${most}`);
-    });
+    const count = mostInWindow(ran, windowMs);
+    if (count > most) this.break('limit', customer, `${count} requests in a window, not ${most}`);
   }
 
   /** Notes a broken promise; each counts once per subject. */
--- a/packages/soak/src/selfReports.ts
+++ b/packages/soak/src/selfReports.ts
@@ -3,6 +3,7 @@
  * An instance is bound from when a caller got such an answer from it; one that
  * was disturbed since is not held to it.
  */
+import { mostInWindow } from '@cardamomladder/load';
 import type { Disturbances } from './disturbances';
 import type { Asked } from './promises';
 
@@ -140,12 +141,8 @@
         this.disturbances.calm([arrival.instance], toldAt, arrival.at)
       );
     });
-    const most = Math.max(
-      0,
-      ...counted.map(
-        (first, i) => counted.slice(i).filter(({ at }) => at - first.at <= WINDOW_MS).length,
-      ),
-    );
+    const times = counted.map(({ at }) => at);
+    const most = mostInWindow(times, WINDOW_MS);
     if (most > tolerated(perSecond))
       this.report('target-limit', target, `${most} requests in 4 s at ${perSecond} a second`);
   }
--- a/packages/steering/src/placing/__tests__/limitShare.test.ts
+++ b/packages/steering/src/placing/__tests__/limitShare.test.ts
@@ -1,6 +1,7 @@
 /** Limits that targets name, kept by instances that do not hear of each other. */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { instanceId } from '@cardamomladder/types';
 import { limitShare, sharersOf } from '../limitShare';
 import { NamedLimit } from '../namedLimit';
 
@@ -10,7 +11,7 @@
 /** A limit binds this long after it was first named, ms. */
 const HEARD_MS = 3000;
 const tolerated = (perSecond: number) => perSecond * 4 * 1.5 + 5;
-const idsOf = (size: number) => Array.from({ length: size }, (_, i) => `i-${i}`);
+const idsOf = (size: number) => Array.from({ length: size }, (_, i) => instanceId(`i-${i}`));
 
 const worstWindow = (times: readonly number[]): number => {
   let first = 0;
@@ -79,7 +80,7 @@
 
   it('gives nothing to an instance that is not among those that share but a rare request', () => {
     const sharers = { ids: idsOf(9), size: 9 };
-    expect(limitShare('t-1', 'other', sharers, 4.5).intervalMs).toBeGreaterThan(1000);
+    expect(limitShare('t-1', instanceId('other'), sharers, 4.5).intervalMs).toBeGreaterThan(1000);
   });
 });
 
--- a/packages/steering/src/placing/limitShare.ts
+++ b/packages/steering/src/placing/limitShare.ts
@@ -9,6 +9,7 @@
  * some instances share the limit, others for each target, and the rest send a
  * request now and then, from which they learn that the limit has been lifted.
  */
+import type { InstanceId } from '@cardamomladder/types';
 import { fleetRank } from './fleetRank';
 
 /** What operators tolerate beyond a limit: in a window, so many times the limit, and some requests besides. */
@@ -21,9 +22,10 @@
 const LEAST_PER_SECOND = 0.1;
 const MS_PER_SECOND = 1000;
 
-/** The instances that share: by id, and how many there are at least. */
+/** The instances among whom something is divided. */
 export interface Sharers {
-  ids: readonly string[];
+  ids: readonly InstanceId[];
+  /** How many to divide by; at least as many as are named. */
   size: number;
 }
 
@@ -45,7 +47,7 @@
 /** The share of `self` in the limit that target `id` names. */
 export const limitShare = (
   id: string,
-  self: string,
+  self: InstanceId,
   { ids, size }: Sharers,
   perSecond: number,
 ): LimitShare => {
