Played members pack and unpack before any time passes on their clock

Cause: the play's clock is fake, while texts over 16 kB are packed on Node's threads, which know no fake clock: the 1.5 s of the play can be over before a thread is done, and the question to the relay then counts as unanswered.

Change: in this test file zlib's asynchronous calls do their work at once. The program under test, the assertions and their bounds are the same. A fault of the test, not of the product: on a real clock a thread has the time it needs.

--- a/packages/gateway/src/peers/__tests__/membership.test.ts
+++ b/packages/gateway/src/peers/__tests__/membership.test.ts
@@ -11,6 +11,10 @@
 import { PlayedMembers, evacuationOf } from '../__fixtures__/playedMembers';
 import { PlayedStore } from '../__fixtures__/playedStore';
 
+vi.mock('node:zlib', async (original) =>
+  (await import('../__fixtures__/zlibAtOnce')).zlibAtOnce(original),
+);
+
 /** How long after the last disturbance all is calm, ms: entries of killed ones end after 3 s, and a relay that failed is left alone for as long. */
 const CALM_AFTER_MS = 8000;
 /** Within this each live instance knows of a change, ms. */
