Log each list of all facts and each lost history, with its revision

A line says the revision that was followed, the list's own, and whether it was taken. No decision changes.

--- a/packages/fleet/src/__fixtures__/follower.ts
+++ b/packages/fleet/src/__fixtures__/follower.ts
@@ -21,5 +21,6 @@
     watchPeer: () => errAsync(DOWN),
     now: () => performance.now(),
     random: () => 0.5,
+    report: () => {},
     ...rest,
   });
--- a/packages/fleet/src/__tests__/beliefs.test.ts
+++ b/packages/fleet/src/__tests__/beliefs.test.ts
@@ -69,6 +69,7 @@
       watchPeer: () => errAsync({ kind: 'unavailable', message: 'no peer' }),
       now: () => performance.now(),
       random: () => 0.5,
+      report: () => {},
     });
     await sleep(20);
     later.records.forEach((record) => beliefs.take(record));
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -75,6 +75,11 @@
   waitMs: number,
 ) => ResultAsync<FollowedFacts, StoreFailure>;
 
+/** What a follower reports for the log: a list of all facts, taken or not, or a history that is gone; with the revision followed so far. */
+export type FollowerEvent =
+  | { event: 'listed'; revision: number; followed: number; taken: boolean }
+  | { event: 'history gone'; followed: number };
+
 /** What following needs. */
 export interface FollowerOptions {
   store: Store;
@@ -86,6 +91,7 @@
   /** Steady clock, ms. */
   now: () => number;
   random: () => number;
+  report: (event: FollowerEvent) => void;
 }
 
 /** A running follower. */
@@ -100,9 +106,9 @@
 
 /** Starts following; returns at once. */
 export const follow = (options: FollowerOptions): Follower => {
-  const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random } = options;
+  const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random, report } = options;
   const changeLog = new ChangeLog(() => beliefs.size);
-  const taken = new HeldRemovals(beliefs, now);
+  const incoming = new HeldRemovals(beliefs, now);
   let stopped = false;
   let listNext = true;
   /** Until when each followed peer that failed is left alone. */
@@ -111,13 +117,15 @@
   let joining = true;
 
   const takeList = (list: FactList): void => {
-    if (list.revision < beliefs.revision) return;
-    taken.takeList(list);
+    const taken = list.revision >= beliefs.revision;
+    report({ event: 'listed', revision: list.revision, followed: beliefs.revision, taken });
+    if (!taken) return;
+    incoming.takeList(list);
     changeLog.restart(list.revision);
   };
   const takeChanges = (after: number, heard: FactChanges): void => {
     // First in force, then passed on: the log keeps as many changes as facts are known.
-    taken.takeChanges(heard);
+    incoming.takeChanges(heard);
     changeLog.add(after, heard);
   };
 
@@ -125,7 +133,7 @@
     now,
     askPeers: ask,
     mayHaveLapsed: () => {
-      if (beliefs.revision > 0) taken.hold();
+      if (beliefs.revision > 0) incoming.hold();
     },
   });
   async function ask(): Promise<void> {
@@ -223,8 +231,10 @@
       } else {
         // A watch that was cut is asked again from the same revision, so it
         // misses nothing; the store says when its history is gone.
-        if (failure.kind === 'history-gone') listNext = true;
-        else reach.lost(failure);
+        if (failure.kind === 'history-gone') {
+          report({ event: 'history gone', followed: beliefs.revision });
+          listNext = true;
+        } else reach.lost(failure);
         await pause(retryMs * (0.5 + random()));
         const mostMs = reach.peerReachedStore ? RETRY_SERVED_MS : RETRY_MOST_MS;
         retryMs = Math.min(mostMs, Math.max(RETRY_FIRST_MS, retryMs * 2));
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,6 +17,7 @@
 export type {
   FollowedFacts,
   Follower,
+  FollowerEvent,
   FollowerOptions,
   PeerAnswer,
   PeerQuestion,
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -150,6 +150,7 @@
     watchPeer: watchPeer({ vouchFor, log }),
     now,
     random: Math.random,
+    report: (event) => log.write('store', undefined, { ...event }),
   });
   follower.status.subscribe(({ reached, reason, through }) => {
     storeReached = reached;
--- a/packages/gateway/src/peers/__fixtures__/playedMembers.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedMembers.ts
@@ -124,6 +124,7 @@
         ),
       now,
       random: this.random,
+      report: () => {},
     });
     member.answers = peerRouter({
       lend: () => ({ lent: [] }),
