--- a/packages/fleet/src/__fixtures__/follower.ts
+++ b/packages/fleet/src/__fixtures__/follower.ts
@@ -1,9 +1,13 @@
 /** A follower in tests: nothing but what the test is about. */
 import { errAsync } from 'neverthrow';
+import { storeEpoch } from '@cardamomladder/types';
 import type { Follower, FollowerOptions, StoreFailure } from '..';
 import { Beliefs, follow } from '..';
 import { instanceAt } from './instances';
 
+/** The epoch of a store that never came back from an older copy. */
+export const FIRST = storeEpoch(0);
+
 /** How the store and peers fail in tests. */
 export const DOWN: StoreFailure = { kind: 'unavailable', message: 'down' };
 
--- a/packages/fleet/src/__tests__/beliefs.test.ts
+++ b/packages/fleet/src/__tests__/beliefs.test.ts
@@ -2,11 +2,13 @@
 import fc from 'fast-check';
 import { errAsync, okAsync } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { NEVER } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 import type { Configuration } from '@cardamomladder/routing';
 import { configurationVersion } from '@cardamomladder/types';
-import type { FactChange, FactList, Store } from '..';
+import type { FactChange, FactChanges, FactList, Store } from '..';
 import { Beliefs, follow } from '..';
+import { FIRST } from '../__fixtures__/follower';
 import { instanceAt, targetRecord } from '../__fixtures__/instances';
 
 const configuration = (version: number): Configuration => ({
@@ -47,16 +49,17 @@
     // compared with the one held, and none is held for a removed target.
     const beliefs = new Beliefs();
     let answerWatch: (changes: FactChange[]) => void = () => {};
-    const later: FactList = { records: [], revision: 9 };
+    const later: FactList = { records: [], epoch: FIRST, revision: 9 };
     const store = {
-      list: () => okAsync({ records: [], revision: 3 }),
+      list: () => okAsync({ records: [], epoch: FIRST, revision: 3 }),
+      epochs: NEVER,
       watch: () =>
         okAsync(undefined)
           .andThen(() => okAsync(undefined))
           .map(
             () =>
-              new Promise<{ changes: FactChange[]; revision: number }>((resolve) => {
-                answerWatch = (changes) => resolve({ changes, revision: 5 });
+              new Promise<FactChanges>((resolve) => {
+                answerWatch = (changes) => resolve({ changes, epoch: FIRST, revision: 5 });
               }),
           ),
     } as unknown as Store;
--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -1,10 +1,11 @@
 /** What is believed after an outage of the store, by what peers said meanwhile. */
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { NEVER } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 import type { FactChanges, PeerAnswer, Store, StoreFailure } from '..';
 import { Beliefs } from '..';
-import { DOWN, followAlone } from '../__fixtures__/follower';
+import { DOWN, FIRST, followAlone } from '../__fixtures__/follower';
 import { instanceAt, registeredInstances, targetRecord } from '../__fixtures__/instances';
 
 /** Longer than entries outlive an outage, ms. */
@@ -19,12 +20,12 @@
   // forgot it has to be listed.
   let told = false;
   const afterOutage = () => {
-    if (!wasAway || told || listed > 1) return okAsync({ changes: [], revision: 3 });
+    if (!wasAway || told || listed > 1) return okAsync({ changes: [], epoch: FIRST, revision: 3 });
     if (history === 'gone')
       return errAsync<FactChanges, StoreFailure>({ kind: 'history-gone', message: 'gone' });
     told = true;
     const removal = { key: 'targets/t-1', revision: 4, removed: true as const };
-    return okAsync({ changes: [removal], revision: 4 });
+    return okAsync({ changes: [removal], epoch: FIRST, revision: 4 });
   };
   const store = {
     list: () => {
@@ -32,12 +33,14 @@
       listed += 1;
       return okAsync({
         records: listed === 1 ? [targetRecord('t-1', 3)] : [],
+        epoch: FIRST,
         revision: 2 + listed,
       });
     },
     watch: () =>
       ResultAsync.fromSafePromise(sleep(20)).andThen(() => (away ? errAsync(DOWN) : afterOutage())),
     instanceKey: (id: string) => `instances/${id}`,
+    epochs: NEVER,
   } as unknown as Store;
   return {
     store,
@@ -84,12 +87,13 @@
     list: () =>
       silent
         ? after(CALL_LIMIT_MS).andThen(() => errAsync(DOWN))
-        : okAsync({ records: instances, revision: 2 }),
+        : okAsync({ records: instances, epoch: FIRST, revision: 2 }),
     watch: (_: number, waitMs: number) =>
       after(waitMs + CALL_LIMIT_MS).andThen(() =>
-        silent ? errAsync(DOWN) : okAsync({ changes: [], revision: 2 }),
+        silent ? errAsync(DOWN) : okAsync({ changes: [], epoch: FIRST, revision: 2 }),
       ),
     instanceKey: (id: string) => `instances/${id}`,
+    epochs: NEVER,
   } as unknown as Store;
   return {
     store,
@@ -104,12 +108,13 @@
   const instances = registeredInstances(20);
   let away = false;
   const store = {
-    list: () => okAsync({ records: instances, revision: 20 }),
+    list: () => okAsync({ records: instances, epoch: FIRST, revision: 20 }),
     watch: () =>
       ResultAsync.fromSafePromise(sleep(10)).andThen(() =>
-        away ? errAsync(DOWN) : okAsync({ changes: [], revision: 20 }),
+        away ? errAsync(DOWN) : okAsync({ changes: [], epoch: FIRST, revision: 20 }),
       ),
     instanceKey: (id: string) => `instances/${id}`,
+    epochs: NEVER,
   } as unknown as Store;
   let firstAsked: string | undefined;
   let lostAt = Infinity;
@@ -122,7 +127,7 @@
         const heardBefore = Math.max(0, performance.now() - lostAt);
         const noticed = peer.id === firstAsked ? heardBefore > 0 : heardBefore > 1000;
         if (noticed) return errAsync(DOWN);
-        const answer = { changes: [], revision: 20, storeHeardMsAgo: heardBefore };
+        const answer = { changes: [], epoch: FIRST, revision: 20, storeHeardMsAgo: heardBefore };
         return ResultAsync.fromSafePromise(sleep(travelMs, answer));
       }),
   });
@@ -143,14 +148,19 @@
     const instances = registeredInstances(2);
     const gone = { key: 'instances/i-0', revision: 3, removed: true as const };
     const store = {
-      list: () => okAsync({ records: instances, revision: 2 }),
+      list: () => okAsync({ records: instances, epoch: FIRST, revision: 2 }),
       watch: (_: number, waitMs: number) =>
-        ResultAsync.fromSafePromise(sleep(waitMs)).map(() => ({ changes: [], revision: 3 })),
+        ResultAsync.fromSafePromise(sleep(waitMs)).map(() => ({
+          changes: [],
+          epoch: FIRST,
+          revision: 3,
+        })),
       instanceKey: (id: string) => `instances/${id}`,
+      epochs: NEVER,
     } as unknown as Store;
     const follower = followAlone({
       store,
-      watchPeer: () => okAsync({ changes: [gone], revision: 3, storeHeardMsAgo: 0 }),
+      watchPeer: () => okAsync({ changes: [gone], epoch: FIRST, revision: 3, storeHeardMsAgo: 0 }),
     });
     await sleep(600);
     follower.stop();
@@ -185,7 +195,9 @@
       store,
       watchPeer: () =>
         ResultAsync.fromSafePromise(sleep(20)).andThen(() =>
-          relayLost ? errAsync(DOWN) : okAsync({ changes: [], revision: 2, storeHeardMsAgo: 0 }),
+          relayLost
+            ? errAsync(DOWN)
+            : okAsync({ changes: [], epoch: FIRST, revision: 2, storeHeardMsAgo: 0 }),
         ),
     });
     await sleep(100);
--- a/packages/fleet/src/__tests__/snapshot.test.ts
+++ b/packages/fleet/src/__tests__/snapshot.test.ts
@@ -1,13 +1,18 @@
 /** How a fresh instance gets its first facts, and goes on from them. */
 import { errAsync, ok, okAsync } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { NEVER } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 import type { FactList, Store, StoreFailure } from '..';
 import { Beliefs, pack, unpackFacts } from '..';
-import { followAlone } from '../__fixtures__/follower';
+import { FIRST, followAlone } from '../__fixtures__/follower';
 import { targetRecord } from '../__fixtures__/instances';
 
-const LIST: FactList = { records: [targetRecord('t-1', 3), targetRecord('t-2', 7)], revision: 9 };
+const LIST: FactList = {
+  records: [targetRecord('t-1', 3), targetRecord('t-2', 7)],
+  epoch: FIRST,
+  revision: 9,
+};
 
 /** Follows for a while; tells which calls the store got, in order. */
 const storeCallsWith = async (
@@ -29,9 +34,10 @@
       if (failure) return errAsync(failure);
       const record = targetRecord('t-3', 10);
       const changes = revision < 10 ? [record] : [];
-      return okAsync({ changes, revision: 10 });
+      return okAsync({ changes, epoch: FIRST, revision: 10 });
     },
     instanceKey: (id: string) => `instances/${id}`,
+    epochs: NEVER,
   } as unknown as Store;
   const beliefs = new Beliefs();
   const follower = followAlone({
--- a/packages/fleet/src/beliefs.ts
+++ b/packages/fleet/src/beliefs.ts
@@ -3,12 +3,32 @@
  * evacuations and its peers, kept from store changes. Beliefs only move
  * forward: a record older than the one held is ignored, and a configuration
  * with a version not above the one in force is too, so a late answer or a
- * peer's old copy can never turn anything back.
+ * peer's old copy can never turn anything back. Revisions order the records of
+ * one epoch of the store; `IncomingFacts` leads from one epoch to the next.
  */
 import { Subject } from 'rxjs';
 import type { Configuration } from '@cardamomladder/routing';
-import type { CrashReport, FailureDomainName, InstanceId, TargetId } from '@cardamomladder/types';
+import type {
+  CrashReport,
+  FailureDomainName,
+  InstanceId,
+  StoreEpoch,
+  StoreMoment,
+  TargetId,
+} from '@cardamomladder/types';
+import { storeEpoch } from '@cardamomladder/types';
 import type { Fact, FactChange, FactList, FactRecord, InstanceEntry, TargetEntry } from './facts';
+import { RemovedFacts } from './removedFacts';
+
+/** The store came back from an older copy, and beliefs have moved to its new epoch. */
+export interface StoreRestored extends StoreMoment {
+  /** The moment up to which the store was followed before. */
+  followed: StoreMoment;
+  /** Keys that the store lacks, though they are held. */
+  missing: readonly string[];
+  /** Records that the store shows in a state that has passed. */
+  outdated: readonly FactRecord[];
+}
 
 /** A change of belief, for those that act on it and for the log. */
 export type BeliefChange =
@@ -18,7 +38,8 @@
   | { kind: 'evacuation'; failureDomain: FailureDomainName; active: boolean; revision: number }
   | { kind: 'instance'; instance: InstanceEntry; revision: number }
   | { kind: 'instance-gone'; id: InstanceId; revision: number }
-  | { kind: 'crash-report'; key: string; report: CrashReport; revision: number }
+  | ({ kind: 'restored' } & StoreRestored)
+  | ({ kind: 'crash-report'; key: string; report: CrashReport } & StoreMoment)
   | { kind: 'crash-report-gone'; key: string; revision: number }
   | { kind: 'invalid'; key: string; problem: string };
 
@@ -35,11 +56,26 @@
 
   configuration: Configuration | undefined;
 
+  /** The store's epoch that is followed. */
+  epoch: StoreEpoch = storeEpoch(0);
+
   /** The store's revision up to which changes are known; 0 before the first list. */
   revision = 0;
 
+  /** What was removed of late. */
+  readonly removed: RemovedFacts;
+
   private readonly records = new Map<string, FactRecord>();
 
+  constructor(now: () => number = () => performance.now()) {
+    this.removed = new RemovedFacts(now);
+  }
+
+  /** Up to where changes are known. */
+  get moment(): StoreMoment {
+    return { epoch: this.epoch, revision: this.revision };
+  }
+
   /** How many records are held. */
   get size(): number {
     return this.records.size;
@@ -47,7 +83,7 @@
 
   /** Every record held, to pass on to a peer. */
   list(): FactList {
-    return { records: [...this.records.values()], revision: this.revision };
+    return { records: [...this.records.values()], ...this.moment };
   }
 
   /** Keys held that `list` does not have: what went while nobody was listening. */
@@ -66,6 +102,11 @@
     return this.records.get(key)?.revision ?? 0;
   }
 
+  /** The record under `key`, if any. */
+  recordOf(key: string): FactRecord | undefined {
+    return this.records.get(key);
+  }
+
   /** What is held under `key`, if anything. */
   factOf(key: string): Fact | undefined {
     return this.records.get(key)?.fact;
@@ -78,11 +119,34 @@
       this.remove(change.key, change.revision);
       return;
     }
+    this.put(change);
+  }
+
+  /** Puts a record in force, whatever revision is held. */
+  put(record: FactRecord): void {
     // What can't be understood names no target: one that stood there is gone.
-    if (change.fact.kind === 'invalid' && this.factOf(change.key)?.kind === 'target')
-      this.remove(change.key, change.revision);
-    this.records.set(change.key, change);
-    this.apply(change);
+    if (record.fact.kind === 'invalid' && this.factOf(record.key)?.kind === 'target')
+      this.remove(record.key, record.revision);
+    this.removed.back(record.key);
+    this.records.set(record.key, record);
+    this.apply(record);
+  }
+
+  /** Takes it that the fact under `key` stands at another revision; 0 when the store lacks it. */
+  rebase(key: string, revision: number): void {
+    const held = this.records.get(key);
+    if (held) this.records.set(key, { ...held, revision });
+  }
+
+  /** Follows the store from a moment of another epoch on. */
+  startEpoch({ epoch, revision }: StoreMoment): void {
+    this.epoch = epoch;
+    this.revision = revision;
+  }
+
+  /** Tells those that act on it that all is known by the new epoch. */
+  restored(restored: StoreRestored): void {
+    this.changes.next({ kind: 'restored', ...restored });
   }
 
   /** Notes that all changes up to `revision` have been taken. */
@@ -95,6 +159,7 @@
     const held = this.records.get(key);
     if (!held) return;
     this.records.delete(key);
+    this.removed.note(held);
     const { fact } = held;
     if (fact.kind === 'target') {
       this.changes.next({ kind: 'target-gone', id: fact.target.id, revision });
@@ -138,7 +203,13 @@
         this.changes.next({ kind: 'instance', instance: fact.instance, revision });
         return;
       case 'crash-report':
-        this.changes.next({ kind: 'crash-report', key, report: fact.report, revision });
+        this.changes.next({
+          kind: 'crash-report',
+          key,
+          report: fact.report,
+          epoch: this.epoch,
+          revision,
+        });
         return;
       default:
         this.changes.next({ kind: 'invalid', key, problem: fact.problem });
--- a/packages/fleet/src/changeLog.ts
+++ b/packages/fleet/src/changeLog.ts
@@ -4,6 +4,8 @@
  * takes them believes what it would have read there itself.
  */
 import { Subject } from 'rxjs';
+import type { StoreEpoch, StoreMoment } from '@cardamomladder/types';
+import { compareMoments, storeEpoch } from '@cardamomladder/types';
 import type { FactChange, FactChanges } from './facts';
 
 /** Changes kept at least: a whole fleet of 300 targets and instances that is replaced within one question of a peer (700 ms) fits. */
@@ -13,6 +15,9 @@
 export class ChangeLog {
   readonly advanced = new Subject<void>();
 
+  /** The store's epoch whose changes are kept. */
+  epoch: StoreEpoch = storeEpoch(0);
+
   /** The store's revision up to which changes are known. */
   revision = 0;
 
@@ -31,18 +36,24 @@
    */
   constructor(private readonly known: () => number = () => 0) {}
 
-  /** Starts again at a listed revision: what changed before is not known one by one. */
-  restart(revision: number): void {
-    if (revision === this.revision) return;
+  /** True when something later than `moment` is known. */
+  isAfter(moment: StoreMoment): boolean {
+    return compareMoments(this, moment) > 0;
+  }
+
+  /** Starts again at a listed moment: what changed before is not known one by one. */
+  restart({ epoch, revision }: StoreMoment): void {
+    if (epoch === this.epoch && revision === this.revision) return;
     this.changes = [];
+    this.epoch = epoch;
     this.keptFrom = revision;
     this.revision = revision;
     this.advanced.next();
   }
 
-  /** Adds the changes after `after`; starts again there when that leaves a gap. */
-  add(after: number, { changes, revision }: FactChanges): void {
-    if (after > this.revision) this.restart(after);
+  /** Adds the changes after revision `after` of their epoch; starts again there when that leaves a gap. */
+  add(after: number, { epoch, changes, revision }: FactChanges): void {
+    if (epoch !== this.epoch || after > this.revision) this.restart({ epoch, revision: after });
     if (revision <= this.revision) return;
     const all = [...this.changes, ...changes.filter((c) => c.revision > this.revision)];
     this.most = Math.max(this.most, this.known());
@@ -53,9 +64,9 @@
     this.advanced.next();
   }
 
-  /** Changes after `revision`; undefined when some of them are not kept. */
-  since(revision: number): FactChange[] | undefined {
-    if (revision < this.keptFrom) return undefined;
+  /** Changes after a moment; undefined when some of them are not kept. */
+  since({ epoch, revision }: StoreMoment): FactChange[] | undefined {
+    if (epoch !== this.epoch || revision < this.keptFrom) return undefined;
     return this.changes.filter((change) => change.revision > revision);
   }
 }
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -4,6 +4,7 @@
  * away.
  */
 import type { ResultAsync } from 'neverthrow';
+import type { Observable } from 'rxjs';
 import type { Configuration } from '@cardamomladder/routing';
 import type {
   CrashReport,
@@ -12,6 +13,8 @@
   RegionName,
   ServiceName,
   SocketAddress,
+  StoreEpoch,
+  StoreMoment,
   TargetId,
 } from '@cardamomladder/types';
 
@@ -71,21 +74,22 @@
 export type FactChange = FactRecord | { key: string; revision: number; removed: true };
 
 /** All facts as of at least `revision`. */
-export interface FactList {
+export interface FactList extends StoreMoment {
   records: FactRecord[];
-  revision: number;
+  /** Facts that the store lacks, perhaps only until they are written again. */
+  missing?: FactRecord[];
 }
 
 /** Changes after the revision asked for, in order, up to `revision`. */
-export interface FactChanges {
+export interface FactChanges extends StoreMoment {
   changes: FactChange[];
-  revision: number;
 }
 
 /**
  * A store call that brought nothing. `unavailable`: no answer, or a refusal;
  * for a write the outcome is unknown. `history-gone`: the changes asked for
- * are no longer kept; list again. `lease-ended`: the lease is no longer held.
+ * are no longer kept, or the answer is older than the store's return from an
+ * older copy; list again. `lease-ended`: the lease is no longer held.
  */
 export interface StoreFailure {
   kind: 'unavailable' | 'history-gone' | 'lease-ended';
@@ -110,16 +114,20 @@
   renewLease: (id: number) => ResultAsync<void, StoreFailure>;
   /** Ends a lease; what is registered under it goes. */
   endLease: (id: number) => ResultAsync<void, StoreFailure>;
-  /** Writes the instance's entry under a lease. */
-  register: (instance: InstanceEntry, leaseId: number) => ResultAsync<void, StoreFailure>;
+  /** Writes the instance's entry under a lease; tells the moment of the write. */
+  register: (instance: InstanceEntry, leaseId: number) => ResultAsync<StoreMoment, StoreFailure>;
   /** Key of an instance's entry, to recognise its removal. */
   instanceKey: (id: InstanceId) => string;
   /** Writes a report of crashes for good; writing it twice changes nothing. */
   fileReport: (id: string, report: CrashReport) => ResultAsync<void, StoreFailure>;
   /** Key of a report. */
   reportKey: (id: string) => string;
+  /** The id of the report under a key. */
+  reportId: (key: string) => string;
   /** Removes reports by their keys; those that are gone already are passed over. */
   removeReports: (keys: readonly string[]) => ResultAsync<void, StoreFailure>;
+  /** Emits each time that an answer comes from a later epoch than any before. */
+  epochs: Observable<StoreEpoch>;
   /** Drops open connections. */
   close: () => void;
 }
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -17,14 +17,19 @@
  *   ends the question early enough to ask the next relay and the store within
  *   the same time, and it is left alone for a while.
  * - Entries lapse while the store is away; their removals are held.
+ * - The store may come back from an older copy and give revisions out again: a
+ *   watch from a revision of before would miss what was written since. Any
+ *   answer of a later epoch leads to a list.
  */
 import type { ResultAsync } from 'neverthrow';
 import type { BehaviorSubject } from 'rxjs';
+import { Subject, firstValueFrom, race, timer } from 'rxjs';
+import type { StoreMoment } from '@cardamomladder/types';
 import { pause } from '@cardamomladder/types';
 import type { Beliefs } from './beliefs';
 import { ChangeLog } from './changeLog';
 import type { FactChanges, FactList, InstanceEntry, Store, StoreFailure } from './facts';
-import { HeldRemovals } from './heldRemovals';
+import { IncomingFacts } from './incomingFacts';
 import { relaysOf } from './relay';
 import type { StoreStatus } from './storeReach';
 import { StoreReach } from './storeReach';
@@ -57,28 +62,30 @@
 /** Asks a peer that the settings name for all its facts; undefined when none has them and reaches the store. */
 export type SnapshotQuestion = () => Promise<FactList | undefined>;
 
-/** Asks some peers for facts newer than `revision`; an empty list when none answers. */
-export type PeerQuestion = (revision: number) => Promise<PeerAnswer[]>;
+/** Asks some peers for facts newer than `known`; an empty list when none answers. */
+export type PeerQuestion = (known: StoreMoment) => Promise<PeerAnswer[]>;
 
 /** What a peer that watches the store passes on, and how long ago the store last answered it, ms. */
 export interface FollowedFacts extends FactChanges {
   storeHeardMsAgo: number;
+  /** All facts in place of changes, where the peer does not keep these. */
+  list?: FactList;
 }
 
 /**
- * Waits at a peer that watches the store for changes after `revision`. Fails
+ * Waits at a peer that watches the store for changes after `known`. Fails
  * as the store would; `unavailable` also when the peer doesn't watch it.
  */
 export type PeerWatch = (
   peer: InstanceEntry,
-  revision: number,
+  known: StoreMoment,
   waitMs: number,
 ) => ResultAsync<FollowedFacts, StoreFailure>;
 
 /** What a follower reports for the log: a list of all facts, taken or not, or a history that is gone; with the revision followed so far. */
 export type FollowerEvent =
-  | { event: 'listed'; revision: number; followed: number; taken: boolean }
-  | { event: 'history gone'; followed: number };
+  | ({ event: 'listed'; followed: StoreMoment; taken: boolean } & StoreMoment)
+  | { event: 'history gone'; followed: StoreMoment };
 
 /** What following needs. */
 export interface FollowerOptions {
@@ -101,6 +108,8 @@
   changeLog: ChangeLog;
   /** How long ago the store itself last answered this instance, ms. */
   storeHeardMsAgo: () => number;
+  /** All facts, to pass on to a peer. */
+  list: () => FactList;
   stop: () => void;
 }
 
@@ -108,7 +117,7 @@
 export const follow = (options: FollowerOptions): Follower => {
   const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random, report } = options;
   const changeLog = new ChangeLog(() => beliefs.size);
-  const incoming = new HeldRemovals(beliefs, now);
+  const incoming = new IncomingFacts(beliefs, now);
   let stopped = false;
   let listNext = true;
   /** Until when each followed peer that failed is left alone. */
@@ -116,17 +125,29 @@
   /** True until this instance's own entry was seen for the first time. */
   let joining = true;
 
+  const relays = (): InstanceEntry[] => {
+    joining &&= !beliefs.instances.has(self.id);
+    const registered = [...beliefs.instances.values()].map((instance) => ({
+      instance,
+      // One that the store lacks registers again, as the last.
+      revision: beliefs.revisionOf(store.instanceKey(instance.id)) || Infinity,
+    }));
+    return relaysOf(self, registered, joining).filter(
+      ({ id }) => now() >= (avoidedUntil.get(id) ?? 0),
+    );
+  };
   const takeList = (list: FactList): void => {
-    const taken = list.revision >= beliefs.revision;
-    report({ event: 'listed', revision: list.revision, followed: beliefs.revision, taken });
-    if (!taken) return;
-    incoming.takeList(list);
-    changeLog.restart(list.revision);
+    const { epoch, revision } = list;
+    const followed = beliefs.moment;
+    const taken = incoming.takeList(list);
+    report({ event: 'listed', epoch, revision, followed, taken });
+    if (taken) changeLog.restart(list);
   };
+  /** Takes changes after the revision asked for; a later epoch of the store makes a list necessary. */
   const takeChanges = (after: number, heard: FactChanges): void => {
     // First in force, then passed on: the log keeps as many changes as facts are known.
-    incoming.takeChanges(heard);
-    changeLog.add(after, heard);
+    if (incoming.takeChanges(heard)) changeLog.add(after, heard);
+    else if (heard.epoch > beliefs.epoch) listNext = true;
   };
 
   const reach = new StoreReach({
@@ -137,8 +158,8 @@
     },
   });
   async function ask(): Promise<void> {
-    const after = beliefs.revision;
-    const answers = await askPeers(after);
+    const known = beliefs.moment;
+    const answers = await askPeers(known);
     if (reach.status.value.reached || stopped) return;
     // Only the last answers count, and only from peers that reached the store
     // all the while: one that has not noticed the outage yet, or regained the
@@ -148,7 +169,7 @@
     );
     answers.forEach(({ list, changes }) => {
       if (list) takeList(list);
-      if (changes) takeChanges(after, changes);
+      if (changes) takeChanges(known.revision, changes);
     });
   }
 
@@ -160,7 +181,17 @@
     reach.regained();
     begin(list);
   };
+  /** True when a relay of this region has handed its list over; its own list costs the store nothing more. */
+  const beginFromRelay = async (): Promise<boolean> => {
+    const [relay] = beliefs.revision > 0 ? relays() : [];
+    if (!relay) return false;
+    const heard = await watchPeer(relay, beliefs.moment, RELAY_WAIT_MS);
+    if (heard.isErr() || !heard.value.list) return false;
+    begin(heard.value.list);
+    return true;
+  };
   const stepList = async (): Promise<StoreFailure | undefined> => {
+    if (await beginFromRelay()) return undefined;
     const asked = beliefs.revision === 0 ? askSnapshot() : Promise.resolve(undefined);
     const early = await Promise.race([asked, pause(SNAPSHOT_ALONE_MS)]);
     if (early) return beginFromPeer(early);
@@ -186,14 +217,18 @@
   };
   /** A peer that fails is not the store's failure: the next step asks another relay, or the store. */
   const stepRelay = async (relay: InstanceEntry): Promise<undefined> => {
-    const after = beliefs.revision;
+    const known = beliefs.moment;
     const askedAt = now();
-    const heard = await watchPeer(relay, after, reach.suspected ? 0 : RELAY_WAIT_MS);
+    const heard = await watchPeer(relay, known, reach.suspected ? 0 : RELAY_WAIT_MS);
     if (heard.isErr()) {
       reach.suspect();
       avoidedUntil.set(relay.id, now() + RELAY_PAUSE_MS);
       return undefined;
     }
+    if (heard.value.epoch < beliefs.epoch) {
+      avoidedUntil.set(relay.id, now() + RELAY_PAUSE_MS);
+      return undefined;
+    }
     // A second relay may not have noticed the outage that the first one told
     // of; the outage counts from the first one's word until the store answers.
     // How long its answer was under way is not known: only what it heard after
@@ -201,20 +236,12 @@
     const confirmed = reach.heardSinceSuspicion(askedAt, heard.value.storeHeardMsAgo);
     if (confirmed) reach.regained();
     reach.followThrough(relay);
-    takeChanges(after, heard.value);
-    if (heard.value.changes.length > 0 || !confirmed) await pause(GATHER_FOLLOWED_MS);
+    const { list, changes } = heard.value;
+    if (list) takeList(list);
+    else takeChanges(known.revision, heard.value);
+    if (list || changes.length > 0 || !confirmed) await pause(GATHER_FOLLOWED_MS);
     return undefined;
   };
-  const relays = (): InstanceEntry[] => {
-    joining &&= !beliefs.instances.has(self.id);
-    const registered = [...beliefs.instances.values()].map((instance) => ({
-      instance,
-      revision: beliefs.revisionOf(store.instanceKey(instance.id)),
-    }));
-    return relaysOf(self, registered, joining).filter(
-      ({ id }) => now() >= (avoidedUntil.get(id) ?? 0),
-    );
-  };
   const step = (): Promise<StoreFailure | undefined> => {
     if (listNext) return stepList();
     const [relay] = relays();
@@ -222,20 +249,45 @@
     return relay ? stepRelay(relay) : stepWatch();
   };
 
+  /** Emits when the store has come back from an older copy: no pause is worth its while then. */
+  const woken = new Subject<void>();
+  const restored = store.epochs.subscribe((epoch) => {
+    // The relay that is followed lists for all that follow it.
+    if (epoch <= beliefs.epoch || relays().length > 0) return;
+    listNext = true;
+    woken.next();
+  });
+  const rest = (ms: number): Promise<unknown> => firstValueFrom(race(woken, timer(ms)));
+
+  /** How many watches in a row found that their history is gone. */
+  let historiesGone = 0;
+  const takeFailure = (failure: StoreFailure): void => {
+    // A watch that was cut is asked again from the same revision, so it
+    // misses nothing; the store says when its history is gone.
+    if (failure.kind !== 'history-gone') {
+      reach.lost(failure);
+      return;
+    }
+    reach.answered();
+    report({ event: 'history gone', followed: beliefs.moment });
+    listNext = true;
+    historiesGone += 1;
+  };
   const run = async (): Promise<void> => {
     let retryMs = 0;
     while (!stopped) {
+      const isWatch = !listNext;
       const failure = await step();
       if (!failure) {
-        retryMs = 0;
+        // A list alone proves nothing: the next watch may find no history again.
+        if (isWatch) {
+          retryMs = 0;
+          historiesGone = 0;
+        }
       } else {
-        // A watch that was cut is asked again from the same revision, so it
-        // misses nothing; the store says when its history is gone.
-        if (failure.kind === 'history-gone') {
-          report({ event: 'history gone', followed: beliefs.revision });
-          listNext = true;
-        } else reach.lost(failure);
-        await pause(retryMs * (0.5 + random()));
+        takeFailure(failure);
+        if (failure.kind === 'history-gone' && historiesGone === 1) continue;
+        await rest(retryMs * (0.5 + random()));
         const mostMs = reach.peerReachedStore ? RETRY_SERVED_MS : RETRY_MOST_MS;
         retryMs = Math.min(mostMs, Math.max(RETRY_FIRST_MS, retryMs * 2));
       }
@@ -253,8 +305,10 @@
     status: reach.status,
     changeLog,
     storeHeardMsAgo: () => reach.heardMsAgo,
+    list: () => incoming.list(),
     stop: () => {
       stopped = true;
+      restored.unsubscribe();
       reach.stopAsking();
     },
   };
--- /dev/null
+++ b/packages/fleet/src/incomingFacts.ts
@@ -0,0 +1,185 @@
+/**
+ * Takes changes and lists into beliefs.
+ *
+ * Removals are held for a while after an outage: entries lapse while the store
+ * is away and are written again within about two seconds of its return; taking
+ * those removals at once would empty the registry, and every request would be
+ * refused until they are back.
+ *
+ * A store that came back from an older copy lacks what was written since, until
+ * it is written again, and shows states that have passed. Neither counts as a
+ * change: what is known is kept, under the revisions of the new epoch.
+ */
+import type { Beliefs } from './beliefs';
+import type { Fact, FactChange, FactChanges, FactList, FactRecord } from './facts';
+import type { Standing } from './restoredFacts';
+import { standingOf } from './restoredFacts';
+
+/** How long removals are held after an outage that no peer was spared, or the store's return from an older copy, ms. */
+const LAPSE_HOLD_MS = 2200;
+/** A removed fact that an older copy brought back is believed when it still stands after this, ms: three heartbeats, after which silent writers' entries go, and the time to hear of it. */
+const DOUBT_MS = 10_000;
+
+/** Facts that outlast a store that has lost them: an older configuration never comes in force, and reports of crashes are filed again. */
+const isKept = (fact: Fact | undefined): boolean =>
+  fact?.kind === 'configuration' || fact?.kind === 'crash-report';
+
+const isLapsable = (fact: Fact | undefined): boolean =>
+  (fact?.kind === 'target' && !fact.target.leaving) || fact?.kind === 'instance';
+
+const isLeaving = (fact: Fact | undefined): boolean =>
+  fact?.kind === 'target' && fact.target.leaving;
+
+/** Beliefs behind the hold. Times on the steady clock, ms. */
+export class IncomingFacts {
+  private readonly held = new Map<string, FactChange>();
+
+  private holdUntil = 0;
+
+  private releasing: NodeJS.Timeout | undefined;
+
+  /** Facts that were removed and that an older copy of the store brought back. */
+  private doubted = new Map<string, FactRecord>();
+
+  constructor(
+    private readonly beliefs: Beliefs,
+    private readonly now: () => number,
+  ) {}
+
+  /** Holds removals from now on; what is still missing when that ends is gone. */
+  hold(): void {
+    this.holdUntil = this.now() + LAPSE_HOLD_MS;
+    this.releasing ??= setTimeout(() => this.release(), LAPSE_HOLD_MS);
+  }
+
+  /** Takes changes that follow what is known; false when they come from another epoch of the store. */
+  takeChanges({ epoch, changes, revision }: FactChanges): boolean {
+    if (epoch !== this.beliefs.epoch) return false;
+    // A peer's list may have brought a later state meanwhile.
+    changes
+      .filter((change) => change.revision > this.beliefs.revision)
+      .forEach((change) => this.take(change));
+    this.beliefs.advance(revision);
+    return true;
+  }
+
+  /** Takes a list, unless a later state is known; what it lacks was removed. */
+  takeList(list: FactList): boolean {
+    const { beliefs } = this;
+    if (beliefs.revision === 0) beliefs.startEpoch(list);
+    else if (list.epoch > beliefs.epoch) this.takeRestored(list);
+    else if (list.epoch < beliefs.epoch || list.revision < beliefs.revision) return false;
+    else this.takeCurrent(list);
+    list.records.forEach((record) => this.take(record));
+    this.takeMissing(list);
+    beliefs.advance(list.revision);
+    return true;
+  }
+
+  /** What is believed, for a peer: what the store lacks stands apart, since no change will tell of its removal. */
+  list(): FactList {
+    const { beliefs, held } = this;
+    const isMissing = ({ key, revision }: FactRecord) => revision === 0 || held.has(key);
+    const { records, ...moment } = beliefs.list();
+    const missing = records.filter(isMissing);
+    return {
+      ...moment,
+      records: records.filter((record) => !isMissing(record)),
+      ...(missing.length > 0 ? { missing } : {}),
+    };
+  }
+
+  /** Removes what a list of the same epoch lacks. */
+  private takeCurrent(list: FactList): void {
+    const { beliefs } = this;
+    const { revision, missing = [] } = list;
+    const heldByPeer = new Set(missing.map(({ key }) => key));
+    // What stands at no revision is missing already, and its removal held.
+    const gone = beliefs.missingFrom(list).filter((key) => beliefs.revisionOf(key) > 0);
+    gone
+      .filter((key) => !heldByPeer.has(key))
+      .forEach((key) => this.take({ key, revision, removed: true }));
+    gone.filter((key) => heldByPeer.has(key)).forEach((key) => this.miss(key, revision));
+  }
+
+  /** Moves all that is known to the epoch of a list, by the revisions there. */
+  private takeRestored(list: FactList): void {
+    const { beliefs } = this;
+    const followed = beliefs.moment;
+    const missing = beliefs.missingFrom(list);
+    beliefs.startEpoch(list);
+    this.held.clear();
+    this.hold();
+    this.doubted = new Map();
+    const outdated = list.records.filter((record) => this.judge(record) === 'outdated');
+    missing.forEach((key) => this.miss(key, list.revision));
+    this.reviewDoubted();
+    beliefs.restored({ ...beliefs.moment, followed, missing, outdated });
+  }
+
+  private judge(listed: FactRecord): Standing {
+    const { beliefs } = this;
+    const { key, revision } = listed;
+    const held = beliefs.recordOf(key);
+    const standing = standingOf(listed, held, beliefs.removed.get(key));
+    if (standing === 'news') beliefs.put(listed);
+    else if (held) beliefs.rebase(key, revision);
+    else this.doubted.set(key, listed);
+    return standing;
+  }
+
+  /** Holds the removal of a fact that the store lacks. */
+  private miss(key: string, revision: number): void {
+    this.beliefs.rebase(key, 0);
+    if (isKept(this.beliefs.factOf(key))) return;
+    this.held.set(key, { key, revision, removed: true });
+    this.hold();
+  }
+
+  /** Takes what a peer holds though the store lacks it, where nothing is known of it. */
+  private takeMissing({ missing = [], revision }: FactList): void {
+    const { beliefs } = this;
+    const unknown = missing.filter(({ key }) => !beliefs.holds(key) && !beliefs.removed.get(key));
+    unknown.forEach((record) => {
+      beliefs.put(record);
+      this.miss(record.key, revision);
+    });
+  }
+
+  private take(change: FactChange): void {
+    const { key, revision } = change;
+    if (revision > (this.doubted.get(key)?.revision ?? 0)) this.doubted.delete(key);
+    if (this.doubted.has(key)) return;
+    const fact = this.beliefs.factOf(key);
+    if ('removed' in change && isLapsable(fact) && this.now() < this.holdUntil) {
+      this.held.set(key, change);
+      return;
+    }
+    this.held.delete(key);
+    this.beliefs.take(change);
+  }
+
+  private release(): void {
+    this.releasing = undefined;
+    const leftMs = this.holdUntil - this.now();
+    if (leftMs > 0) {
+      this.releasing = setTimeout(() => this.release(), leftMs);
+      return;
+    }
+    this.held.forEach((change) => this.beliefs.take(change));
+    this.held.clear();
+  }
+
+  /** Believes in the end what still stands; a target that was leaving does not come back. */
+  private reviewDoubted(): void {
+    const { beliefs, doubted } = this;
+    if (doubted.size === 0) return;
+    setTimeout(() => {
+      doubted.forEach((record, key) => {
+        const removed = beliefs.removed.get(key)?.fact;
+        if (!isLeaving(removed) && !beliefs.holds(key)) beliefs.put(record);
+      });
+      doubted.clear();
+    }, DOUBT_MS).unref();
+  }
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -11,7 +11,7 @@
   StoreFailure,
   TargetEntry,
 } from './facts';
-export type { BeliefChange } from './beliefs';
+export type { BeliefChange, StoreRestored } from './beliefs';
 export { Beliefs } from './beliefs';
 export { ChangeLog } from './changeLog';
 export type {
--- a/packages/fleet/src/packedFacts.ts
+++ b/packages/fleet/src/packedFacts.ts
@@ -13,6 +13,8 @@
 import { deflateRaw, inflateRaw, inflateRawSync } from 'node:zlib';
 import { LRUCache } from 'lru-cache';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
+import type { StoreMoment } from '@cardamomladder/types';
+import { compareMoments } from '@cardamomladder/types';
 import type { FactChange, FactList } from './facts';
 
 /** Compression level: 21 kB of such a list before it is text, 16 kB at the highest level, which takes longer while dozens wait. */
@@ -56,8 +58,8 @@
 );
 
 const isList = (value: unknown): value is FactList => {
-  const { records, revision } = (value ?? {}) as Partial<FactList>;
-  return Array.isArray(records) && Number.isInteger(revision);
+  const { records, epoch, revision } = (value ?? {}) as Partial<FactList>;
+  return Array.isArray(records) && Number.isInteger(epoch) && Number.isInteger(revision);
 };
 
 /** Unpacks a list that a peer packed. */
@@ -89,15 +91,16 @@
 
 /** Packs the newest list once, however often it is asked for. */
 export class PackedFacts {
-  private packed: { revision: number; text: Promise<string> } | undefined;
+  private packed: { moment: StoreMoment; text: Promise<string> } | undefined;
 
   constructor(private readonly source: () => FactList) {}
 
-  /** The packed list as of at least `revision`, the newest that is known. */
-  at(revision: number): Promise<string> {
-    if (this.packed?.revision === revision) return this.packed.text;
+  /** The packed list as of at least `moment`, the newest that is known. */
+  at({ epoch, revision }: StoreMoment): Promise<string> {
+    const moment = { epoch, revision };
+    if (this.packed && compareMoments(this.packed.moment, moment) === 0) return this.packed.text;
     const text = pack(this.source());
-    this.packed = { revision, text };
+    this.packed = { moment, text };
     return text;
   }
 }
@@ -109,9 +112,13 @@
 export class PackedChanges {
   private readonly packed = new LRUCache<string, Promise<string>>({ max: STRETCHES_KEPT });
 
-  /** The changes after one revision up to another, packed. */
-  between(after: number, upTo: number, changes: readonly FactChange[]): Promise<string> {
-    const stretch = `${after}-${upTo}`;
+  /** The changes after a moment up to a revision of its epoch, packed. */
+  between(
+    { epoch, revision: after }: StoreMoment,
+    upTo: number,
+    changes: readonly FactChange[],
+  ): Promise<string> {
+    const stretch = `${epoch}: ${after}-${upTo}`;
     const known = this.packed.get(stretch);
     if (known) return known;
     const text = pack(changes);
--- a/packages/gateway/src/beliefLog.ts
+++ b/packages/gateway/src/beliefLog.ts
@@ -3,6 +3,9 @@
 import type { LogFields } from '@cardamomladder/telemetry';
 import type { DecisionLog } from './decisionLog';
 
+/** Keys named in a line; a large fleet's store may lack hundreds. */
+const KEYS_SHOWN = 10;
+
 const fieldsOf = (change: BeliefChange): LogFields => {
   switch (change.kind) {
     case 'configuration':
@@ -15,6 +18,16 @@
       return { ...change.target, revision: change.revision };
     case 'instance':
       return { id: change.instance.id, revision: change.revision };
+    case 'restored':
+      return {
+        epoch: change.epoch,
+        revision: change.revision,
+        followed: change.followed,
+        missing: change.missing.slice(0, KEYS_SHOWN),
+        missingCount: change.missing.length,
+        outdated: change.outdated.slice(0, KEYS_SHOWN).map(({ key }) => key),
+        outdatedCount: change.outdated.length,
+      };
     default:
       return { ...change };
   }
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -89,7 +89,7 @@
     keysRequired: () => beliefs.configuration?.customers !== undefined,
     versions: () => ({
       configuration: beliefs.configuration?.version ?? 0,
-      revision: beliefs.revision,
+      ...beliefs.moment,
     }),
     metrics,
     log,
@@ -138,6 +138,7 @@
     metrics.knownTargets.set(registry.size);
     metrics.limitedTargets.set(registry.limited);
     metrics.knownInstances.set(beliefs.instances.size);
+    metrics.storeEpoch.set(beliefs.epoch);
     metrics.configurationVersion.set(beliefs.configuration?.version ?? 0);
     metrics.logLinesDropped.set(linesDropped());
   });
--- a/packages/gateway/src/peers/__fixtures__/playedMembers.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedMembers.ts
@@ -12,6 +12,7 @@
   Registration,
 } from '@cardamomladder/fleet';
 import { Beliefs, follow, startRegistration, unpackFacts } from '@cardamomladder/fleet';
+import type { StoreMoment } from '@cardamomladder/types';
 import {
   failureDomainName,
   instanceId,
@@ -108,18 +109,18 @@
       store,
       beliefs,
       self,
-      askPeers: async (revision) => {
+      askPeers: async (known) => {
         const peers = [...knownInstances(beliefs, vouched).values()];
         round += 1;
         const answers = await Promise.all(
-          peersToAsk(peers, self, [], round).map((at) => this.askFacts(member, at, revision)),
+          peersToAsk(peers, self, [], round).map((at) => this.askFacts(member, at, known)),
         );
         return answers.filter((answer) => answer !== undefined);
       },
       askSnapshot: async () => undefined,
-      watchPeer: (peer, revision, waitMs) =>
+      watchPeer: (peer, known, waitMs) =>
         ResultAsync.fromPromise(
-          this.askChanges(member, peer, revision, waitMs),
+          this.askChanges(member, peer, known, waitMs),
           (error) => error as FailedCall,
         ),
       now,
@@ -174,10 +175,10 @@
   private async askFacts(
     from: PlayedMember,
     at: string,
-    revision: number,
+    known: StoreMoment,
   ): Promise<PeerAnswer | undefined> {
     try {
-      const question = { revision, asker: from.self };
+      const question = { ...known, asker: from.self };
       const { packed, changes, storeReachedForMs } = await this.call(
         from,
         at,
@@ -195,10 +196,10 @@
   private async askChanges(
     from: PlayedMember,
     peer: InstanceEntry,
-    revision: number,
+    known: StoreMoment,
     waitMs: number,
   ): Promise<FollowedFacts> {
-    const question = { revision, asker: from.self, waitMs, unpacks: true };
+    const question = { ...known, asker: from.self, waitMs, unpacks: true, takesLists: true };
     const answer = await this.call(from, peer.peerAddress, waitMs + FOLLOWED_WITHIN_MS, (to) =>
       to.answers.changes(question),
     );
--- a/packages/gateway/src/peers/__fixtures__/playedStore.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedStore.ts
@@ -1,6 +1,7 @@
 /** The store in virtual time: revisions, leases and watches, reached or not by each instance. */
 import type { ResultAsync } from 'neverthrow';
 import { ResultAsync as Results } from 'neverthrow';
+import { Subject } from 'rxjs';
 import type {
   FactChange,
   FactRecord,
@@ -8,7 +9,8 @@
   Store,
   StoreFailure,
 } from '@cardamomladder/fleet';
-import { pause } from '@cardamomladder/types';
+import type { StoreEpoch, StoreMoment } from '@cardamomladder/types';
+import { pause, storeEpoch } from '@cardamomladder/types';
 
 /** Way there and back, ms. */
 const ANSWER_MS = 4;
@@ -32,16 +34,27 @@
   lease: number;
 }
 
+/** What a copy of the store holds. */
+interface Copy {
+  revision: number;
+  held: [string, Held][];
+  changes: FactChange[];
+  leases: [number, { ttlMs: number }][];
+  leasesGranted: number;
+}
+
 /** The one store of a fleet. */
 export class PlayedStore {
+  epoch: StoreEpoch = storeEpoch(0);
+
   revision = 0;
 
   /** Calls taken, by kind. */
   readonly calls = { list: 0, watch: 0, lease: 0 };
 
-  private readonly held = new Map<string, Held>();
+  private held = new Map<string, Held>();
 
-  private readonly changes: FactChange[] = [];
+  private changes: FactChange[] = [];
 
   private readonly leases = new Map<number, { endsAt: number; ttlMs: number }>();
 
@@ -58,6 +71,28 @@
     this.changes.push(record ?? { key, revision: this.revision, removed: true });
   }
 
+  /** A copy of everything as it stands. */
+  copy(): Copy {
+    return {
+      revision: this.revision,
+      held: [...this.held],
+      changes: [...this.changes],
+      leases: [...this.leases],
+      leasesGranted: this.leasesGranted,
+    };
+  }
+
+  /** Comes back from an older copy: revisions and leases are given out again; leases of the copy run anew. */
+  restore({ revision, held, changes, leases, leasesGranted }: Copy): void {
+    this.epoch = storeEpoch(this.epoch + 1);
+    this.revision = revision;
+    this.held = new Map(held);
+    this.changes = [...changes];
+    this.leases.clear();
+    leases.forEach(([id, { ttlMs }]) => this.leases.set(id, { ttlMs, endsAt: this.now() + ttlMs }));
+    this.leasesGranted = leasesGranted;
+  }
+
   /** Ends leases that were not renewed. */
   expire(): void {
     this.leases.forEach(({ endsAt }, id) => {
@@ -67,14 +102,30 @@
 
   /** The store as one instance reaches it, or does not. */
   seenBy(reaches: () => boolean): Store {
+    const epochs = new Subject<StoreEpoch>();
+    let latest = this.epoch;
+    const tellEpoch = (): void => {
+      if (this.epoch === latest) return;
+      latest = this.epoch;
+      epochs.next(latest);
+    };
     const call = <T>(answer: () => Promise<T>): ResultAsync<T, StoreFailure> =>
-      Results.fromPromise(this.answered(reaches, answer), (error) => error as FailedCall);
+      Results.fromPromise(
+        this.answered(reaches, async () => {
+          try {
+            return await answer();
+          } finally {
+            tellEpoch();
+          }
+        }),
+        (error) => error as FailedCall,
+      );
     return {
       list: () =>
         call(async () => {
           this.calls.list += 1;
           const records = [...this.held.values()].map(({ record }) => record);
-          return { records, revision: this.revision };
+          return { records, ...this.moment };
         }),
       watch: (after, waitMs) => call(() => this.watch(after, waitMs, reaches)),
       grantLease: (ttlMs) => call(async () => this.grant(ttlMs)),
@@ -84,6 +135,8 @@
       instanceKey: (id) => `instances/${id}`,
       fileReport: () => call(async () => {}),
       reportKey: (id) => `crashes/${id}`,
+      reportId: (key) => key.replace('crashes/', ''),
+      epochs,
       removeReports: () => call(async () => {}),
       close: () => {},
     };
@@ -99,13 +152,18 @@
     throw new FailedCall('unavailable', 'cut off');
   }
 
+  private get moment(): StoreMoment {
+    return { epoch: this.epoch, revision: this.revision };
+  }
+
   private async watch(after: number, waitMs: number, reaches: () => boolean) {
     this.calls.watch += 1;
     const end = this.now() + waitMs;
     while (this.revision === after && this.now() < end && reaches()) await pause(LOOK_MS);
+    if (after > this.revision) throw new FailedCall('history-gone', 'no such revision');
     return {
       changes: this.changes.filter(({ revision }) => revision > after),
-      revision: this.revision,
+      ...this.moment,
     };
   }
 
@@ -123,9 +181,10 @@
     lease.endsAt = this.now() + lease.ttlMs;
   }
 
-  private register(instance: InstanceEntry, lease: number): void {
+  private register(instance: InstanceEntry, lease: number): StoreMoment {
     if (!this.leases.has(lease)) throw new FailedCall('lease-ended', 'no such lease');
     this.put(`instances/${instance.id}`, { kind: 'instance', instance }, lease);
+    return this.moment;
   }
 
   private end(id: number): void {
--- a/packages/gateway/src/peers/ask.ts
+++ b/packages/gateway/src/peers/ask.ts
@@ -10,6 +10,8 @@
   SnapshotQuestion,
 } from '@cardamomladder/fleet';
 import { unpackFacts } from '@cardamomladder/fleet';
+import type { StoreMoment } from '@cardamomladder/types';
+import { storeEpoch } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import { peerClient } from './client';
 import type { ReportExchange } from './reportExchange';
@@ -23,6 +25,8 @@
 /** How long a peer may take to hand all facts to a fresh instance, ms: 30 kB of them to dozens at once over a link of 20 Mbit/s. */
 const SNAPSHOT_TIMEOUT_MS = 800;
 
+const NOTHING_KNOWN: StoreMoment = { epoch: storeEpoch(0), revision: 0 };
+
 /** What asking needs of the instance. */
 export interface AskOptions {
   /** The instances known by their entry or their own word: one that started beside a peer while the store turned it away has read no entry of it. */
@@ -66,21 +70,21 @@
 const askOne = async (
   { vouchFor, exchangeReports, log }: AskOptions,
   address: string,
-  revision: number,
+  known: StoreMoment,
   timeoutMs: number,
 ): Promise<PeerAnswer | undefined> => {
   const failed = (reason: string): undefined => {
     log.write('store', undefined, { event: 'peer did not answer', peer: address, reason });
   };
   try {
-    const { packed, reports, ...known } = await peerClient(address, timeoutMs).facts.query({
-      revision,
+    const { packed, reports, ...answer } = await peerClient(address, timeoutMs).facts.query({
+      ...known,
       asker: vouchFor(),
     });
     if (reports) exchangeReports(address, reports).catch((error: Error) => failed(error.message));
-    if (packed === undefined) return known;
+    if (packed === undefined) return answer;
     const list = await unpackFacts(packed);
-    return list.isOk() ? { ...known, list: list.value } : failed(list.error.message);
+    return list.isOk() ? { ...answer, list: list.value } : failed(list.error.message);
   } catch (error) {
     return failed((error as Error).message);
   }
@@ -89,11 +93,11 @@
 /** Builds the question that the follower asks while the store is out of reach. */
 export const askPeers = (options: AskOptions): PeerQuestion => {
   let round = 0;
-  return async (revision) => {
+  return async (known) => {
     const addresses = peersToAsk(options.peers(), options.self, options.seeds, round);
     round += 1;
     const answers = await Promise.all(
-      addresses.map((address) => askOne(options, address, revision, PEER_TIMEOUT_MS)),
+      addresses.map((address) => askOne(options, address, known, PEER_TIMEOUT_MS)),
     );
     return answers.filter((answer): answer is PeerAnswer => answer !== undefined);
   };
@@ -111,6 +115,6 @@
     const { seeds, self } = options;
     if (seeds.length === 0 || seeds.includes(self.peerAddress)) return undefined;
     const address = seeds[Math.floor(random() * seeds.length)];
-    const answer = await askOne(options, address, 0, SNAPSHOT_TIMEOUT_MS);
+    const answer = await askOne(options, address, NOTHING_KNOWN, SNAPSHOT_TIMEOUT_MS);
     return answer?.storeReachedForMs === undefined ? undefined : answer.list;
   };
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -21,6 +21,8 @@
   StoreStatus,
 } from '@cardamomladder/fleet';
 import { PackedChanges, PackedFacts } from '@cardamomladder/fleet';
+import type { StoreEpoch, StoreMoment } from '@cardamomladder/types';
+import { compareMoments, storeEpoch } from '@cardamomladder/types';
 import type { TokenAnswer, TokenQuestion } from '../quota/tokenFormat';
 import { tokenQuestion } from '../quota/tokenFormat';
 import { reportQuestion } from './reportFormat';
@@ -56,19 +58,31 @@
 /** Changes for a peer that follows, packed or not, and how long ago the store was heard, ms. */
 interface PassedChanges {
   kind: 'changes';
+  /** An older version does not tell it. */
+  epoch?: StoreEpoch;
   revision: number;
   storeHeardMsAgo: number;
   changes?: FactChange[];
   packed?: string;
 }
 
-/** An answer to a peer that follows: changes; or why it must ask elsewhere. */
-export type FollowedChanges = PassedChanges | { kind: 'not-watching' } | { kind: 'history-gone' };
+/** All facts for a peer that follows, packed, and how long ago the store was heard, ms. */
+interface PassedList {
+  kind: 'list';
+  list: string;
+  storeHeardMsAgo: number;
+}
+
+/** An answer to a peer that follows: changes, or all facts where the changes since are not kept; or why it must ask elsewhere. */
+export type FollowedChanges =
+  PassedChanges | PassedList | { kind: 'not-watching' } | { kind: 'history-gone' };
 
 /** From so many changes on they are packed: one or two become hardly smaller. */
 const PACKED_FROM = 3;
 
 const question = z.object({
+  /** The store's epoch that the asker follows; an older version does not tell it. */
+  epoch: z.number().default(0).transform(storeEpoch),
   /** The store's revision up to which the asker knows all. */
   revision: z.number(),
   /** The asker's entry, while it takes callers. */
@@ -78,70 +92,86 @@
   waitMs: z.number().max(WAIT_MOST_MS),
   /** True when the asker can unpack changes. */
   unpacks: z.boolean().default(false),
+  /** True when the asker takes a list in place of changes. */
+  takesLists: z.boolean().default(false),
 });
 
 /** Only what was read at the store itself is passed on: two that followed each other would both stand still. */
 const watches = ({ reached, through }: StoreStatus): boolean => reached && through === undefined;
 
+/** What instances that follow this one, or ask it for facts, share. */
+interface Packed {
+  facts: PackedFacts;
+  changes: PackedChanges;
+}
+
 const changesAfter = async (
-  follower: Follower,
-  packed: PackedChanges,
-  { revision, unpacks }: z.output<typeof waitingQuestion>,
+  { beliefs, follower }: PeerRouterOptions,
+  packed: Packed,
+  known: z.output<typeof waitingQuestion>,
 ): Promise<FollowedChanges> => {
   const { changeLog, status, storeHeardMsAgo } = follower;
-  if (!watches(status.value)) return { kind: 'not-watching' };
-  const changes = changeLog.since(revision);
-  if (!changes) return { kind: 'history-gone' };
-  const upTo = changeLog.revision;
+  // One that has not noticed the store's return from an older copy yet is as good as none that watches.
+  if (!watches(status.value) || changeLog.epoch < known.epoch) return { kind: 'not-watching' };
+  const changes = changeLog.since(known);
+  if (!changes && !known.takesLists) return { kind: 'history-gone' };
+  if (!changes) {
+    const list = await packed.facts.at(beliefs.moment);
+    return { kind: 'list', list, storeHeardMsAgo: storeHeardMsAgo() };
+  }
+  const { epoch, revision } = changeLog;
   const content =
-    unpacks && changes.length >= PACKED_FROM
-      ? { packed: await packed.between(revision, upTo, changes) }
+    known.unpacks && changes.length >= PACKED_FROM
+      ? { packed: await packed.changes.between(known, revision, changes) }
       : { changes };
-  return { kind: 'changes', ...content, revision: upTo, storeHeardMsAgo: storeHeardMsAgo() };
+  return { kind: 'changes', ...content, epoch, revision, storeHeardMsAgo: storeHeardMsAgo() };
 };
 
-/** Resolves at the first change after `revision`, when the store is lost, or after `waitMs`. */
+/** Resolves at the first change after `known`, when the store is lost, or after `waitMs`. */
 const untilNewer = async (
   { changeLog, status }: Follower,
-  revision: number,
+  known: StoreMoment,
   waitMs: number,
 ): Promise<void> => {
-  if (changeLog.revision > revision) return;
+  if (changeLog.isAfter(known)) return;
   await firstValueFrom(
     merge(
-      changeLog.advanced.pipe(filter(() => changeLog.revision > revision)),
+      changeLog.advanced.pipe(filter(() => changeLog.isAfter(known))),
       status.pipe(filter((current) => !watches(current))),
       timer(waitMs),
     ).pipe(first()),
   );
 };
 
-/** What is known beyond `revision`: a changed fact or two in place of hundreds, where the changes are kept. */
+/** What is known beyond `known`: a changed fact or two in place of hundreds, where the changes are kept. */
 const knownAfter = async (
   { beliefs, follower }: PeerRouterOptions,
   packed: PackedFacts,
-  revision: number,
+  known: StoreMoment,
 ): Promise<Pick<KnownFacts, 'changes' | 'packed'>> => {
-  if (beliefs.revision <= revision) return {};
+  if (compareMoments(beliefs, known) <= 0) return {};
   const { changeLog } = follower;
-  const changes = revision > 0 ? changeLog.since(revision) : undefined;
+  const changes = known.revision > 0 ? changeLog.since(known) : undefined;
+  const { epoch, revision } = changeLog;
   return changes
-    ? { changes: { changes, revision: changeLog.revision } }
-    : { packed: await packed.at(beliefs.revision) };
+    ? { changes: { changes, epoch, revision } }
+    : { packed: await packed.at(beliefs.moment) };
 };
 
 /** Builds the router of one instance. */
 export const peerRouter = (options: PeerRouterOptions) => {
-  const { beliefs, follower, crashReports, vouch, lend, now } = options;
-  const packed = new PackedFacts(() => beliefs.list());
-  const packedChanges = new PackedChanges();
+  const { follower, crashReports, vouch, lend, now } = options;
+  const packed: Packed = {
+    facts: new PackedFacts(() => follower.list()),
+    changes: new PackedChanges(),
+  };
   return t.router({
     facts: t.procedure.input(question).query(async ({ input }): Promise<KnownFacts> => {
       if (input.asker) vouch(input.asker);
       const { reached, since } = follower.status.value;
       return {
         ...(reached ? { storeReachedForMs: now() - since } : {}),
-        ...(await knownAfter(options, packed, input.revision)),
+        ...(await knownAfter(options, packed.facts, input)),
         reports: crashReports.mark,
       };
     }),
@@ -149,8 +179,8 @@
       .input(waitingQuestion)
       .query(async ({ input }): Promise<FollowedChanges> => {
         if (input.asker) vouch(input.asker);
-        await untilNewer(follower, input.revision, input.waitMs);
-        return changesAfter(follower, packedChanges, input);
+        await untilNewer(follower, input, input.waitMs);
+        return changesAfter(options, packed, input);
       }),
     reports: t.procedure.input(reportQuestion).mutation(({ input }): PassedReports => {
       const answer = crashReports.after(input.after);
--- a/packages/gateway/src/peers/watch.ts
+++ b/packages/gateway/src/peers/watch.ts
@@ -1,7 +1,9 @@
 /** Follows the store through a peer that watches it. */
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { FollowedFacts, InstanceEntry, PeerWatch, StoreFailure } from '@cardamomladder/fleet';
-import { unpackChanges } from '@cardamomladder/fleet';
+import { unpackChanges, unpackFacts } from '@cardamomladder/fleet';
+import type { StoreMoment } from '@cardamomladder/types';
+import { storeEpoch } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import { peerClient } from './client';
 import type { FollowedChanges } from './router';
@@ -21,6 +23,8 @@
   message: `peer ${peer.id}: ${reason}`,
 });
 
+const momentOf = ({ epoch, revision }: StoreMoment): StoreMoment => ({ epoch, revision });
+
 /** What a followed peer's answer holds, or why it holds nothing. */
 export const followedFacts = (
   peer: InstanceEntry,
@@ -28,24 +32,30 @@
 ): ResultAsync<FollowedFacts, StoreFailure> => {
   if (answer.kind === 'history-gone')
     return errAsync({ ...failed(peer, answer.kind), kind: answer.kind });
-  if (answer.kind !== 'changes') return errAsync(failed(peer, 'does not watch the store'));
-  const { revision, storeHeardMsAgo, changes = [], packed } = answer;
+  if (answer.kind === 'not-watching') return errAsync(failed(peer, 'does not watch the store'));
+  const { storeHeardMsAgo } = answer;
+  if (answer.kind === 'list')
+    return unpackFacts(answer.list)
+      .map((list) => ({ ...momentOf(list), changes: [], list, storeHeardMsAgo }))
+      .mapErr(({ message }) => failed(peer, message));
+  const { epoch = storeEpoch(0), revision, changes = [], packed } = answer;
   const all = packed === undefined ? okAsync(changes) : unpackChanges(packed);
   return all
-    .map((each) => ({ changes: each, revision, storeHeardMsAgo }))
+    .map((each) => ({ changes: each, epoch, revision, storeHeardMsAgo }))
     .mapErr(({ message }) => failed(peer, message));
 };
 
 /** Builds the question that waits at a followed peer; each failure is logged. */
 export const watchPeer =
   ({ vouchFor, log }: WatchOptions): PeerWatch =>
-  (peer, revision, waitMs) =>
+  (peer, known, waitMs) =>
     ResultAsync.fromPromise(
       peerClient(peer.peerAddress, waitMs + ANSWER_WITHIN_MS).changes.query({
-        revision,
+        ...known,
         asker: vouchFor(),
         waitMs,
         unpacks: true,
+        takesLists: true,
       }),
       (error) => failed(peer, (error as Error).message),
     )
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -110,8 +110,7 @@
   return {
     targets: describeTargets(request.key, localityOf(request), pool, rankings, ctx.now()),
     known: pool.targets.length,
-    configuration: ctx.versions().configuration,
-    revision: ctx.versions().revision,
+    ...ctx.versions(),
   };
 };
 
--- a/packages/gateway/src/requests/serving.ts
+++ b/packages/gateway/src/requests/serving.ts
@@ -9,6 +9,7 @@
   CallerDigest,
   RequestDigest,
   ServiceName,
+  StoreMoment,
   TargetId,
 } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
@@ -34,7 +35,7 @@
   /** True when customers have keys, which targets must not see. */
   keysRequired: () => boolean;
   /** Versions of what is believed, for the log. */
-  versions: () => { configuration: number; revision: number };
+  versions: () => { configuration: number } & StoreMoment;
   metrics: GatewayMetrics;
   log: DecisionLog;
   now: () => number;
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -25,6 +25,7 @@
   /** Crashes of targets under requests of this instance. */
   targetCrashes: Counter;
   storeReached: Gauge;
+  storeEpoch: Gauge;
   configurationVersion: Gauge;
   knownTargets: Gauge;
   limitedTargets: Gauge;
@@ -66,6 +67,7 @@
       [],
     ),
     storeReached: gauge('store_reached', '1 while the store answers this instance.'),
+    storeEpoch: gauge('store_epoch', 'How often the store came back from an older copy.'),
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force.'),
     knownTargets: gauge('known_targets', 'Targets in the registry.'),
     limitedTargets: gauge('limited_targets', 'Targets that name a limit in their answers.'),
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -44,6 +44,8 @@
 export type SocketAddress = Brand<string, 'SocketAddress'>;
 /** A key in the platform key-value service. */
 export type KvKey = Brand<string, 'KvKey'>;
+/** Counts how often the platform's store came back from an older copy; revisions of two epochs can't be compared. */
+export type StoreEpoch = Brand<number, 'StoreEpoch'>;
 /** A lease granted by the platform key-value service. */
 export type LeaseId = Brand<string, 'LeaseId'>;
 /** A caller's idempotency key for a non-idempotent request. */
@@ -67,6 +69,8 @@
 export const documentRevision = (value: number): DocumentRevision => value as DocumentRevision;
 /** Tags a plain string as a key in the platform KV; no check is made. */
 export const kvKey = (value: string): KvKey => value as KvKey;
+/** Tags a number as an epoch of the store; no check is made. */
+export const storeEpoch = (value: number): StoreEpoch => value as StoreEpoch;
 /** Tags a plain string as a lease id; no check is made. */
 export const leaseId = (value: string): LeaseId => value as LeaseId;
 /** Tags a plain string as a caller's idempotency key; no check is made. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -18,6 +18,7 @@
   RouteName,
   ServiceName,
   SocketAddress,
+  StoreEpoch,
   TargetId,
   TargetRun,
 } from './ids';
@@ -40,10 +41,13 @@
   routeName,
   serviceName,
   socketAddress,
+  storeEpoch,
   targetId,
   targetRun,
 } from './ids';
 export type { AnsweredRequest, AskedRequest, CrashReport, TargetCrash } from './crashes';
+export type { StoreMoment } from './storeMoment';
+export { compareMoments } from './storeMoment';
 export { splitAddress } from './address';
 export { pause } from './pause';
 export type { FailureKind, SchemaIssue } from './errors';
