Register anew at once where the store came back without the instance's entry

Cause: the lease was taken for one's own as long as renewals succeeded. A store that came back from an older copy lacks entry and lease, and may give the lease's id to another instance: renewals then keep that one's lease, and a planned stop ends it. The entry's absence showed 2.5 s later, after others had dropped it.

Change: the moment at which the entry was written is kept; where the list of a new epoch does not have it there, the instance registers at once under a new lease, and forgets the old one.

--- a/packages/fleet/src/registration.ts
+++ b/packages/fleet/src/registration.ts
@@ -4,8 +4,10 @@
  * itself. The lease can end while the instance is paused or turned away, and
  * the entry can be taken away with no call failing; both are noticed here
  * (the renewal fails, or the entry is missing from what was followed) and
- * mended by registering anew.
+ * mended by registering anew. A store that came back from an older copy may
+ * lack entry and lease, and may have given the lease's id to another instance.
  */
+import type { StoreMoment } from '@cardamomladder/types';
 import type { Beliefs } from './beliefs';
 import type { InstanceEntry, Store, StoreFailure } from './facts';
 
@@ -40,8 +42,12 @@
   const key = store.instanceKey(self.id);
   let leaseId: number | undefined;
   let writtenAt = 0;
+  /** Where the entry stands in the store. */
+  let entry: StoreMoment | undefined;
   let stopped = false;
   let busy = false;
+  /** True when the entry is to be looked after as soon as the call under way is answered. */
+  let again = false;
   let failures = 0;
   let skipped = 0;
 
@@ -63,6 +69,7 @@
       return;
     }
     leaseId = lease.value.id;
+    entry = written.value;
     writtenAt = now();
     report('registered', `lease ${leaseId}`);
   };
@@ -97,16 +104,33 @@
     } finally {
       busy = false;
     }
+    if (!again) return;
+    again = false;
+    await tick();
   };
-  const timer = setInterval(() => {
+  const look = (): void => {
     tick().catch((error: Error) => report('failed', error.message));
-  }, RENEW_EVERY_MS);
-  tick().catch((error: Error) => report('failed', error.message));
+  };
+  const timer = setInterval(look, RENEW_EVERY_MS);
+  look();
+  const restored = beliefs.changes.subscribe((change) => {
+    if (change.kind !== 'restored' || !entry || entry.epoch === change.epoch) return;
+    if (beliefs.revisionOf(key) === entry.revision) {
+      entry = { ...entry, epoch: change.epoch };
+      return;
+    }
+    report('lapsed', `epoch ${change.epoch} of the store lacks the entry`);
+    leaseId = undefined;
+    entry = undefined;
+    again = busy;
+    look();
+  });
 
   return {
     leave: async () => {
       stopped = true;
       clearInterval(timer);
+      restored.unsubscribe();
       if (leaseId === undefined) return;
       const ended = await store.endLease(leaseId);
       if (ended.isErr()) failed('leaving', ended.error);
