File reports of crashes again that the store has lost, in the order they had

Callers would see: a request that crashed three targets crashes three more after all instances have started anew.

Cause: a report counted as stored for good once it was acknowledged. A store that came back from an older copy has lost it; running instances dropped it as removed, later ones never learned of it. And crashes and answers were ordered by revision alone, which starts lower after the return: an answer of before would clear a request of crashes after it.

Change: reports that a new epoch lacks are kept and filed again, at once by the process that saw them, by any other after one to some seconds; they carry the place they had, and order is by epoch, then revision. Reports that this process had removed as old, and that are back in the copy, are removed again.

The load player learns the store's return, in series before a restart.

--- a/packages/fleet/src/__tests__/crashReports.test.ts
+++ b/packages/fleet/src/__tests__/crashReports.test.ts
@@ -4,6 +4,7 @@
 import type { CrashReport } from '@cardamomladder/types';
 import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
 import { CrashReports, REPORT_KEPT_MS, isCovered } from '..';
+import { FIRST } from '../__fixtures__/follower';
 
 const crashOf = (run: number, ...requests: string[]) => ({
   run: targetRun(targetId(`t-${run}`), run),
@@ -13,10 +14,13 @@
   })),
 });
 
+const PLACE = { epoch: FIRST, revision: 3 };
+
 let away: boolean;
 let written: [string, CrashReport][];
 let removed: string[][];
 let filed: Map<string, CrashReport>;
+let inStore: Set<string>;
 let old: string[];
 let reports: CrashReports;
 
@@ -26,6 +30,7 @@
   written = [];
   removed = [];
   filed = new Map();
+  inStore = new Set();
   old = [];
   let ids = 0;
   reports = new CrashReports({
@@ -33,16 +38,19 @@
       fileReport: (id, report) => {
         if (away) return errAsync({ kind: 'unavailable', message: 'away' });
         written.push([id, report]);
+        inStore.add(`crashes/${id}`);
         return okAsync(undefined);
       },
       reportKey: (id) => `crashes/${id}`,
+      reportId: (key) => key.replace('crashes/', ''),
       removeReports: (keys) => {
         removed.push([...keys]);
         return okAsync(undefined);
       },
     },
     book: {
-      file: (key, _revision, report) => filed.set(key, report),
+      file: (key, _place, report) => filed.set(key, report),
+      all: () => [...filed].map(([key, report]) => ({ key, report, place: PLACE })),
       knows: (key) => filed.has(key),
       drop: (key) => filed.delete(key),
       olderThan: (ms) => (ms === REPORT_KEPT_MS ? old : []),
@@ -54,6 +62,7 @@
     },
     logName: 'process-1',
     random: () => 0.5,
+    epoch: () => FIRST,
     now: () => Date.now(),
     log: () => {},
   });
@@ -151,4 +160,40 @@
     expect(removed[0]).toEqual(['crashes/report-1']);
     expect([...filed.keys()]).toEqual([]);
   });
+
+  // Guards against reports that the store has lost with its return from an older copy being known to no later process.
+  it('is filed again, with the place it had, where the store came back without it', async () => {
+    reports.crashed(crashOf(1, 'x'));
+    await vi.advanceTimersByTimeAsync(1000);
+    const [, report] = written[0];
+    inStore.clear();
+    reports.restored((key) => inStore.has(key), []);
+    await vi.advanceTimersByTimeAsync(500);
+    expect(written.slice(1)).toEqual([['report-1', { ...report, place: PLACE }]]);
+  });
+
+  // Guards against each instance of a fleet filing what the one that saw it files.
+  it('of another instance is filed again only if that one does not', async () => {
+    filed.set('crashes/other-1', { crashes: [crashOf(1, 'x')], answered: [] });
+    filed.set('crashes/other-2', { crashes: [crashOf(2, 'x')], answered: [] });
+    reports.restored((key) => inStore.has(key), []);
+    await vi.advanceTimersByTimeAsync(300);
+    expect(written).toEqual([]);
+    inStore.add('crashes/other-1');
+    await vi.advanceTimersByTimeAsync(5000);
+    expect(written.map(([id]) => id)).toEqual(['other-2']);
+  });
+
+  // Guards against a report that this instance removed as old counting for its whole time again.
+  it('is removed again where the store came back with it', async () => {
+    reports.crashed(crashOf(1, 'x'));
+    await vi.advanceTimersByTimeAsync(1000);
+    old = ['crashes/report-1'];
+    await vi.advanceTimersByTimeAsync(120_000);
+    old = [];
+    removed = [];
+    reports.restored((key) => inStore.has(key), ['crashes/report-1', 'crashes/other']);
+    await vi.advanceTimersByTimeAsync(500);
+    expect(removed).toEqual([['crashes/report-1']]);
+  });
 });
--- a/packages/fleet/src/crashReports.ts
+++ b/packages/fleet/src/crashReports.ts
@@ -8,9 +8,16 @@
  * a report has one key, so one that was written without an answer is only
  * written again. Reports have no lease, as one would end with a power loss or
  * an outage; they are removed when they are old. Until the store has a report,
- * peers that ask get it from here.
+ * peers that ask get it from here. What a store that came back from an older
+ * copy has lost is filed again, by the one that saw it or else by any other.
  */
-import type { AnsweredRequest, CrashReport, TargetCrash } from '@cardamomladder/types';
+import type {
+  AnsweredRequest,
+  CrashReport,
+  StoreEpoch,
+  StoreMoment,
+  TargetCrash,
+} from '@cardamomladder/types';
 import { pause } from '@cardamomladder/types';
 import type { Store, StoreFailure } from './facts';
 import { GatheredReport } from './gatheredReport';
@@ -34,9 +41,13 @@
 /** Revisions above any of the store's, for reports that it does not have yet. */
 const UNWRITTEN_FROM = 2 ** 52;
 
+/** How long an instance leaves it to the one that saw a crash to file its lost report again, ms: from then on those that know it follow each other at random. */
+const LEFT_TO_OTHERS_MS = 1000;
+
 /** Where reports take effect. */
 export interface ReportBook {
-  file: (key: string, revision: number, report: CrashReport) => void;
+  file: (key: string, moment: StoreMoment, report: CrashReport) => void;
+  all: () => readonly { key: string; report: CrashReport; place: StoreMoment }[];
   knows: (key: string) => boolean;
   drop: (key: string) => void;
   olderThan: (ms: number) => string[];
@@ -44,7 +55,7 @@
 
 /** What filing needs. */
 export interface CrashReportsOptions {
-  store: Pick<Store, 'fileReport' | 'reportKey' | 'removeReports'>;
+  store: Pick<Store, 'fileReport' | 'reportKey' | 'reportId' | 'removeReports'>;
   book: ReportBook;
   fleetSize: () => number;
   /** A name that no other report has. */
@@ -52,9 +63,14 @@
   /** Tells this process from others, also from earlier ones of this instance. */
   logName: string;
   random: () => number;
+  /** The store's epoch that is followed. */
+  epoch: () => StoreEpoch;
   /** Steady clock, ms. */
   now: () => number;
-  log: (event: 'filed' | 'heard' | 'failed' | 'given up' | 'removed', detail: string) => void;
+  log: (
+    event: 'filed' | 'heard' | 'failed' | 'given up' | 'removed' | 'lost by the store',
+    detail: string,
+  ) => void;
 }
 
 /** A report with its id. */
@@ -71,6 +87,11 @@
 
   private filed = 0;
 
+  /** Keys of the reports of what this process saw, and of those that it removed. */
+  private readonly own = new Set<string>();
+
+  private readonly removed = new Set<string>();
+
   private writing = false;
 
   private stopped = false;
@@ -125,6 +146,25 @@
     this.passed.drop(key);
   }
 
+  /**
+   * Takes it that the store came back from an older copy: files again what it
+   * has lost, and removes what was removed. `isStored` tells what it has now.
+   */
+  restored(isStored: (key: string) => boolean, outdated: readonly string[]): void {
+    const { book, fleetSize, random, log } = this.options;
+    const lost = book.all().filter(({ key }) => !isStored(key));
+    if (lost.length > 0) log('lost by the store', lost.map(({ key }) => key).join(' '));
+    lost.filter(({ key }) => this.own.has(key)).forEach((each) => this.fileAgain(each));
+    const others = lost.filter(({ key }) => !this.own.has(key));
+    const spreadMs = LEFT_TO_OTHERS_MS + SPACING_PER_INSTANCE_MS * fleetSize();
+    setTimeout(
+      () => others.filter(({ key }) => !isStored(key)).forEach((each) => this.fileAgain(each)),
+      LEFT_TO_OTHERS_MS + spreadMs * random(),
+    ).unref();
+    const back = outdated.filter((key) => this.removed.has(key));
+    if (back.length > 0) this.remove(back);
+  }
+
   /** Ends the writing; what waits is lost. */
   stop(): void {
     this.stopped = true;
@@ -143,7 +183,19 @@
   private put(id: string, report: CrashReport): void {
     const { store, book } = this.options;
     this.filed += 1;
-    book.file(store.reportKey(id), UNWRITTEN_FROM + this.filed, report);
+    const moment = { epoch: this.options.epoch(), revision: UNWRITTEN_FROM + this.filed };
+    book.file(store.reportKey(id), moment, report);
+  }
+
+  private fileAgain({ key, report, place }: ReturnType<ReportBook['all']>[number]): void {
+    const id = this.options.store.reportId(key);
+    const isUnderWay = this.gathered?.id === id || this.waiting.some((each) => each.id === id);
+    if (isUnderWay || !this.options.book.knows(key)) return;
+    this.waiting.push({
+      id,
+      report: place.revision < UNWRITTEN_FROM ? { ...report, place } : report,
+    });
+    if (!this.writing) this.startWriting();
   }
 
   private startWriting(): void {
@@ -180,6 +232,7 @@
   private queue(gathered: GatheredReport): void {
     const { id } = gathered;
     const report = gathered.report();
+    this.own.add(this.options.store.reportKey(id));
     this.waiting.push({ id, report });
     this.passed.add(this.options.store.reportKey(id), { id, report, ageMs: 0 });
   }
@@ -200,12 +253,20 @@
   }
 
   private removeOld(): void {
-    const { book, store, log } = this.options;
+    const { book } = this.options;
     const keys = book.olderThan(REPORT_KEPT_MS);
-    if (keys.length === 0) return;
+    if (keys.length > 0) this.remove(keys);
+  }
+
+  private remove(keys: readonly string[]): void {
+    const { book, store, log } = this.options;
     const failed = (failure: StoreFailure) => log('failed', `removal: ${failure.message}`);
     const removed = () => {
-      keys.forEach((key) => book.drop(key));
+      keys.forEach((key) => {
+        book.drop(key);
+        this.own.delete(key);
+        this.removed.add(key);
+      });
       log('removed', `${keys.length} old reports`);
     };
     store
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -63,7 +63,10 @@
 const quarantineOf = (beliefs: Beliefs, log: DecisionLog, now: () => number): Quarantine => {
   const quarantine = new Quarantine(now);
   beliefs.changes.subscribe((change) => {
-    if (change.kind === 'crash-report') quarantine.file(change.key, change.revision, change.report);
+    if (change.kind === 'crash-report') {
+      const { key, epoch, revision, report } = change;
+      quarantine.file(key, { epoch, revision }, report);
+    }
     if (change.kind === 'crash-report-gone') quarantine.drop(change.key);
   });
   quarantine.changes.subscribe((held) =>
@@ -84,11 +87,17 @@
     nextId: randomUUID,
     logName: randomUUID(),
     random: Math.random,
+    epoch: () => beliefs.epoch,
     now,
     log: (event, detail) => log.write('crash-report', undefined, { event, detail }),
   });
   beliefs.changes.subscribe((change) => {
     if (change.kind === 'crash-report') crashReports.stored(change.key);
+    if (change.kind === 'restored')
+      crashReports.restored(
+        (key) => beliefs.revisionOf(key) > 0,
+        change.outdated.map(({ key }) => key),
+      );
   });
   return crashReports;
 };
--- a/packages/gateway/src/peers/__tests__/reportSpread.test.ts
+++ b/packages/gateway/src/peers/__tests__/reportSpread.test.ts
@@ -9,6 +9,7 @@
   instanceId,
   regionName,
   requestDigest,
+  storeEpoch,
   targetId,
   targetRun,
 } from '@cardamomladder/types';
@@ -41,6 +42,7 @@
     store: {
       fileReport: () => okAsync(undefined).andThen(() => new Promise<never>(() => {}) as never),
       reportKey: (id) => `crashes/${id}`,
+      reportId: (key) => key.replace('crashes/', ''),
       removeReports: () => okAsync(undefined),
     },
     book: quarantine,
@@ -51,6 +53,7 @@
     },
     logName: `process-${number}`,
     random: () => 0.5,
+    epoch: () => storeEpoch(0),
     now,
     log: () => {},
   });
--- a/packages/gateway/src/peers/reportFormat.ts
+++ b/packages/gateway/src/peers/reportFormat.ts
@@ -2,12 +2,14 @@
 import { z } from 'zod';
 import { REPORTS_AT_A_TIME } from '@cardamomladder/fleet';
 import type { TargetRun } from '@cardamomladder/types';
-import { callerDigest, requestDigest } from '@cardamomladder/types';
+import { callerDigest, requestDigest, storeEpoch } from '@cardamomladder/types';
 
 const request = z.string().transform(requestDigest);
 const caller = z.string().transform(callerDigest);
 const run = z.string().transform((text) => text as TargetRun);
 
+const place = z.object({ epoch: z.number().transform(storeEpoch), revision: z.number() });
+
 const mark = z.object({ log: z.string(), sequence: z.number().int().min(0) });
 const passedReport = z.object({
   id: z.string().min(1),
@@ -19,6 +21,7 @@
       )
       .readonly(),
     answered: z.array(z.object({ request, caller: caller.optional() })).readonly(),
+    place: place.optional(),
   }),
 });
 const passedReports = z.array(passedReport).max(REPORTS_AT_A_TIME);
--- a/packages/gateway/src/requests/__tests__/crashEvidence.test.ts
+++ b/packages/gateway/src/requests/__tests__/crashEvidence.test.ts
@@ -2,7 +2,13 @@
 import { describe, expect, it } from 'vitest';
 import { AnsweredLately, Quarantine } from '@cardamomladder/steering';
 import type { AskedRequest } from '@cardamomladder/types';
-import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
+import {
+  callerDigest,
+  requestDigest,
+  storeEpoch,
+  targetId,
+  targetRun,
+} from '@cardamomladder/types';
 import type { AttemptOutcome } from '../../targets/attempt';
 import type { ReachableTarget } from '../../targets/registry';
 import { takeEvidence } from '../crashEvidence';
@@ -16,10 +22,14 @@
   const quarantine = new Quarantine(() => 0);
   const answeredLately = new AnsweredLately(() => 0);
   const told: AskedRequest[] = [];
-  quarantine.file('north', 1, {
-    crashes: [1, 2].map((n) => ({ run: targetRun(targetId(`t-${n}`), n), requests: [asked] })),
-    answered: [],
-  });
+  quarantine.file(
+    'north',
+    { epoch: storeEpoch(0), revision: 1 },
+    {
+      crashes: [1, 2].map((n) => ({ run: targetRun(targetId(`t-${n}`), n), requests: [asked] })),
+      answered: [],
+    },
+  );
   const crashReports = { answered: (each: AskedRequest) => told.push(each) };
   const ctx = { quarantine, answeredLately, crashReports };
   const serving = { ctx, asked, what: asked.request };
--- a/packages/load/src/__tests__/crashingRequests.test.ts
+++ b/packages/load/src/__tests__/crashingRequests.test.ts
@@ -81,4 +81,12 @@
     expect(most('sentMore', apart)).toBeLessThanOrEqual(SENT_MORE_MOST);
     expect(most('turnedAway', apart)).toBe(0);
   });
+
+  // Guards against reports that the store has lost with its return from an older copy being known to no later process.
+  it('remembers over a restart after the store has come back from older copies, in series', () => {
+    const restores = [4500, 6000, 7500].map((atMs) => ({ atMs, lostMs: 4000 }));
+    const restarted = play({ crashing: [one], restores, restartsAtMs: [11_000] });
+    expect(most('sentMore', restarted)).toBeLessThanOrEqual(SENT_MORE_MOST);
+    expect(most('turnedAway', restarted)).toBe(0);
+  });
 });
--- a/packages/load/src/player/crashOptions.ts
+++ b/packages/load/src/player/crashOptions.ts
@@ -22,6 +22,8 @@
   powerLosses?: { atMs: number; share: number }[];
   /** All instances start anew, with what the store has. */
   restartsAtMs?: number[];
+  /** The store comes back from copies so old, ms. */
+  restores?: { atMs: number; lostMs: number }[];
   /** Half of the instances neither reach the store nor hear of it. */
   apart?: { fromMs: number; toMs: number };
 }
--- a/packages/load/src/player/crashes.ts
+++ b/packages/load/src/player/crashes.ts
@@ -72,7 +72,7 @@
   }
 
   play(): CrashPlayReport {
-    const { rate, lengthMs, crashing = [], restartsAtMs = [], apart } = this.options;
+    const { rate, lengthMs, crashing = [], restartsAtMs = [], restores = [], apart } = this.options;
     this.arrive(rate, 0, () => this.send(this.ordinaryRequest(), 1));
     const requests = crashing.map(({ perSecond, fromMs, callers }) => {
       const request = this.crashingRequest();
@@ -84,6 +84,9 @@
     });
     this.planLosses();
     restartsAtMs.forEach((at) => this.events.after(at, () => this.fleet.restart()));
+    restores.forEach(({ atMs, lostMs }) =>
+      this.events.after(atMs, () => this.fleet.restore(lostMs)),
+    );
     if (apart) this.fleet.planCut(apart);
     this.events.play(lengthMs);
     this.report.sentMore = Math.max(0, ...requests.map((request) => this.sentMoreOf(request)));
--- a/packages/load/src/player/playedFleet.ts
+++ b/packages/load/src/player/playedFleet.ts
@@ -1,6 +1,7 @@
 /** Instances in virtual time: what each knows of crashes, and how they tell each other. */
 import { AnsweredLately, Quarantine } from '@cardamomladder/steering';
-import type { CrashReport } from '@cardamomladder/types';
+import type { CrashReport, StoreMoment } from '@cardamomladder/types';
+import { storeEpoch } from '@cardamomladder/types';
 import type { EventQueue } from './eventQueue';
 
 /** How long an instance gathers what it sees before it reports, ms. */
@@ -10,8 +11,16 @@
 /** Revisions above any of the store's. */
 const UNWRITTEN_FROM = 2 ** 52;
 
-/** A report as the store has it: key, revision, content. */
-type StoredReport = [string, number, CrashReport];
+/** From the store's return from an older copy until a report that it has lost is filed again, ms: by the instance that saw it, or by another that knows it. */
+const FILED_AGAIN_MS = { least: 250, most: 2500 };
+
+/** A report as the store has it. */
+interface StoredReport {
+  key: string;
+  moment: StoreMoment;
+  report: CrashReport;
+  at: number;
+}
 
 /** One instance. */
 export interface PlayedInstance {
@@ -29,7 +38,9 @@
 export class PlayedFleet {
   instances: PlayedInstance[];
 
-  private readonly stored: StoredReport[] = [];
+  private stored: StoredReport[] = [];
+
+  private epoch = 0;
 
   private named = 0;
 
@@ -58,6 +69,22 @@
     });
   }
 
+  /** The store comes back from an older copy; instances that are in touch file what it has lost again. */
+  restore(lostMs: number): void {
+    const isLost = ({ at }: StoredReport) => at > this.events.now - lostMs;
+    const lost = this.stored.filter(isLost);
+    this.stored = this.stored.filter((each) => !isLost(each));
+    this.epoch += 1;
+    lost.forEach(({ key, moment, report }) =>
+      this.events.after(this.between(FILED_AGAIN_MS), () => {
+        const isKnown = this.instances.some(
+          ({ apart, quarantine }) => !apart && quarantine.knows(key),
+        );
+        if (isKnown) this.store(key, { ...report, place: report.place ?? moment });
+      }),
+    );
+  }
+
   /** Files what an instance saw: there at once, with the others once it is gathered and stored. */
   file(instance: PlayedInstance, report: CrashReport): void {
     if (!instance.gathered) this.events.after(GATHER_MS, () => this.closeGathered(instance));
@@ -67,19 +94,19 @@
       answered: [...before.answered, ...report.answered],
     };
     Object.assign(instance, { gathered: { key, report: together } });
-    instance.quarantine.file(key, UNWRITTEN_FROM + this.named, together);
+    instance.quarantine.file(key, this.momentAt(UNWRITTEN_FROM + this.named), together);
   }
 
   private start(): PlayedInstance {
     const now = () => this.events.now;
     const quarantine = new Quarantine(now);
-    this.stored.forEach((filed) => quarantine.file(...filed));
+    this.stored.forEach(({ key, moment, report }) => quarantine.file(key, moment, report));
     const lately = new AnsweredLately(now);
     return { quarantine, lately, apart: false, waiting: [], gathered: undefined };
   }
 
   private catchUp(instance: PlayedInstance): void {
-    this.stored.forEach((filed) => instance.quarantine.file(...filed));
+    this.stored.forEach(({ key, moment, report }) => instance.quarantine.file(key, moment, report));
     instance.waiting.splice(0).forEach(([key, report]) => this.store(key, report));
   }
 
@@ -96,13 +123,21 @@
     else this.store(key, report);
   }
 
+  private momentAt(revision: number): StoreMoment {
+    return { epoch: storeEpoch(this.epoch), revision };
+  }
+
+  private between({ least, most }: { least: number; most: number }): number {
+    return least + (most - least) * this.random();
+  }
+
   private store(key: string, report: CrashReport): void {
-    const filed: StoredReport = [key, this.stored.length + 1, report];
-    this.stored.push(filed);
-    const { least, most } = HEARD_AFTER_MS;
+    if (this.stored.some((each) => each.key === key)) return;
+    const moment = this.momentAt(this.stored.length + 1);
+    this.stored.push({ key, moment, report, at: this.events.now });
     this.instances.forEach((instance) =>
-      this.events.after(least + (most - least) * this.random(), () => {
-        if (!instance.apart) instance.quarantine.file(...filed);
+      this.events.after(this.between(HEARD_AFTER_MS), () => {
+        if (!instance.apart) instance.quarantine.file(key, moment, report);
       }),
     );
   }
--- a/packages/steering/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/steering/src/quarantine/__tests__/quarantine.test.ts
@@ -1,7 +1,13 @@
 /** What follows from the reports of several instances. */
 import { describe, expect, it } from 'vitest';
-import type { CrashReport } from '@cardamomladder/types';
-import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
+import type { CrashReport, StoreMoment } from '@cardamomladder/types';
+import {
+  callerDigest,
+  requestDigest,
+  storeEpoch,
+  targetId,
+  targetRun,
+} from '@cardamomladder/types';
 import { AnsweredLately } from '../answeredLately';
 import { Quarantine } from '../quarantine';
 
@@ -10,6 +16,7 @@
   caller: callerDigest(caller),
 });
 const CRASHING = asked('crashing');
+const at = (revision: number, epoch = 0): StoreMoment => ({ epoch: storeEpoch(epoch), revision });
 const report = (runs: number[], requests = [CRASHING]): CrashReport => ({
   crashes: runs.map((run) => ({ run: targetRun(targetId(`t-${run}`), run), requests })),
   answered: [],
@@ -18,13 +25,13 @@
 describe('the quarantine', () => {
   it('puts together what different instances saw, each crash once', () => {
     const quarantine = new Quarantine(() => 0);
-    quarantine.file('north', 10, report([1, 2]));
+    quarantine.file('north', at(10), report([1, 2]));
     // The same crash, as another instance saw it that had other requests there.
-    quarantine.file('south', 11, report([2], [asked('other')]));
-    quarantine.file('south-too', 12, report([2]));
+    quarantine.file('south', at(11), report([2], [asked('other')]));
+    quarantine.file('south-too', at(12), report([2]));
     expect(quarantine.holds(CRASHING)).toBe(false);
     expect(quarantine.crashesUnder(CRASHING)).toBe(2);
-    quarantine.file('east', 13, report([3]));
+    quarantine.file('east', at(13), report([3]));
     expect(quarantine.holds(CRASHING)).toBe(true);
     expect(quarantine.holds(asked('other'))).toBe(false);
     // No sign yet that it harms when another caller asks it.
@@ -32,10 +39,10 @@
   });
 
   it('takes an answered request for no cause of the crashes before, whatever is heard first', () => {
-    const files: [string, number, CrashReport][] = [
-      ['north', 10, report([1, 2])],
-      ['south', 11, { crashes: [], answered: [CRASHING] }],
-      ['east', 12, report([3])],
+    const files: [string, StoreMoment, CrashReport][] = [
+      ['north', at(10), report([1, 2])],
+      ['south', at(11), { crashes: [], answered: [CRASHING] }],
+      ['east', at(12), report([3])],
     ];
     [files, [...files].reverse()].forEach((order) => {
       const quarantine = new Quarantine(() => 0);
@@ -45,6 +52,23 @@
     });
   });
 
+  // Guards against an answer of before the store's return counting as later than the crashes after it.
+  it('takes reports of a later epoch for later, whatever their revisions', () => {
+    const quarantine = new Quarantine(() => 0);
+    quarantine.file('south', at(50), { crashes: [], answered: [CRASHING] });
+    quarantine.file('north', at(20, 1), report([1, 2, 3]));
+    expect(quarantine.holds(CRASHING)).toBe(true);
+  });
+
+  // Guards against the order in which lost reports happen to be filed again counting as that of the events.
+  it('keeps the order of reports that were filed again', () => {
+    const quarantine = new Quarantine(() => 0);
+    const again = { crashes: [], answered: [CRASHING], place: at(50) };
+    quarantine.file('south', at(20, 1), again);
+    quarantine.file('north', at(21, 1), { ...report([1, 2, 3]), place: at(40) });
+    expect(quarantine.holds(CRASHING)).toBe(false);
+  });
+
   it('leaves alone what many callers ask and targets answer all the while', () => {
     // Symptom: the list that all kiosks show is refused for minutes. Sequence:
     // three targets lose power at once, each was working on that list for some
@@ -52,7 +76,7 @@
     const quarantine = new Quarantine(() => 0);
     const popular = requestDigest('popular');
     ['c', 'd', 'e'].forEach((caller, i) =>
-      quarantine.file(`north-${i}`, 10 + i, {
+      quarantine.file(`north-${i}`, at(10 + i), {
         ...report([i], [asked('popular', caller)]),
         answered: [{ request: popular }],
       }),
@@ -62,7 +86,7 @@
 
   it('holds what crashes targets for one caller while it is answered to others', () => {
     const quarantine = new Quarantine(() => 0);
-    quarantine.file('north', 10, {
+    quarantine.file('north', at(10), {
       ...report([1, 2, 3]),
       answered: [{ request: CRASHING.request }],
     });
@@ -73,9 +97,9 @@
   it('forgets what a dropped report said, and is idle once all are dropped', () => {
     let now = 0;
     const quarantine = new Quarantine(() => now);
-    quarantine.file('north', 10, report([1, 2, 3]));
+    quarantine.file('north', at(10), report([1, 2, 3]));
     now = 500;
-    quarantine.file('north', 12, report([1, 2, 3]));
+    quarantine.file('north', at(12), report([1, 2, 3]));
     now = 1000;
     expect(quarantine.olderThan(1001)).toEqual([]);
     expect(quarantine.olderThan(1000)).toEqual(['north']);
--- a/packages/steering/src/quarantine/quarantine.ts
+++ b/packages/steering/src/quarantine/quarantine.ts
@@ -11,14 +11,18 @@
  * learns them with its other facts.
  */
 import { Subject } from 'rxjs';
-import type { AskedRequest, CrashReport, TargetRun } from '@cardamomladder/types';
+import type { AskedRequest, CrashReport, StoreMoment, TargetRun } from '@cardamomladder/types';
+import { compareMoments } from '@cardamomladder/types';
 import type { Attribution, Suspect } from './attribution';
 import { askedByAnyone, askedByOne, attributeCrashes } from './attribution';
 
-/** A report and the store's revision at which it stands. */
-interface FiledReport {
-  revision: number;
+/** A report and its place among the others: where it stands in the store, or stood before the store lost it. */
+export interface PlacedReport {
+  place: StoreMoment;
   report: CrashReport;
+}
+
+interface FiledReport extends PlacedReport {
   /** When this instance learned of it, steady clock, ms. */
   filedAt: number;
 }
@@ -41,6 +45,10 @@
   askedByOne(asked),
 ];
 
+/** True when there is a moment that is `place` or later. */
+const isSince = (moment: StoreMoment | undefined, place: StoreMoment): boolean =>
+  moment !== undefined && compareMoments(moment, place) >= 0;
+
 /** Requests held, by the reports of crashes that are known. */
 export class Quarantine {
   /** Emits the requests held, or held until lately, when a crash or an answer changes them. */
@@ -88,9 +96,9 @@
   }
 
   /** Files a report, or a later state of it. */
-  file(key: string, revision: number, report: CrashReport): void {
+  file(key: string, moment: StoreMoment, report: CrashReport): void {
     const filedAt = this.reports.get(key)?.filedAt ?? this.now();
-    this.reports.set(key, { revision, report, filedAt });
+    this.reports.set(key, { place: report.place ?? moment, report, filedAt });
     this.changed = true;
   }
 
@@ -99,6 +107,11 @@
     return this.reports.has(key);
   }
 
+  /** All reports with their keys. */
+  all(): (PlacedReport & { key: string })[] {
+    return [...this.reports].map(([key, { place, report }]) => ({ key, place, report }));
+  }
+
   /** Forgets a report. */
   drop(key: string): void {
     if (this.reports.delete(key)) this.changed = true;
@@ -122,12 +135,12 @@
     if (this.reports.size === 0) return NOTHING;
     const answeredAt = this.answeredAt();
     const crashes = new Map<TargetRun, Set<Suspect>>();
-    this.reports.forEach(({ revision, report, filedAt }) =>
+    this.reports.forEach(({ place, report, filedAt }) =>
       report.crashes.forEach(({ run, requests }) => {
         const suspected = crashes.get(run) ?? new Set();
         requests
           .flatMap(suspectsOf)
-          .filter((suspect) => (answeredAt.get(suspect) ?? -1) < revision)
+          .filter((suspect) => !isSince(answeredAt.get(suspect), place))
           .forEach((suspect) => {
             suspected.add(suspect);
             const last = this.lastCrashAt.get(suspect) ?? -Infinity;
@@ -139,15 +152,16 @@
     return attributeCrashes([...crashes.values()]);
   }
 
-  /** The latest revision at which each suspect is known to have been answered by a target that lived on. */
-  private answeredAt(): Map<Suspect, number> {
-    const latest = new Map<Suspect, number>();
-    const note = (suspect: Suspect, revision: number) =>
-      latest.set(suspect, Math.max(revision, latest.get(suspect) ?? -1));
-    this.reports.forEach(({ revision, report }) =>
+  /** The latest place at which each suspect is known to have been answered by a target that lived on. */
+  private answeredAt(): Map<Suspect, StoreMoment> {
+    const latest = new Map<Suspect, StoreMoment>();
+    const note = (suspect: Suspect, place: StoreMoment) => {
+      if (!isSince(latest.get(suspect), place)) latest.set(suspect, place);
+    };
+    this.reports.forEach(({ place, report }) =>
       report.answered.forEach(({ request, caller }) => {
-        note(askedByAnyone(request), revision);
-        if (caller !== undefined) note(askedByOne({ request, caller }), revision);
+        note(askedByAnyone(request), place);
+        if (caller !== undefined) note(askedByOne({ request, caller }), place);
       }),
     );
     return latest;
--- a/packages/types/src/crashes.ts
+++ b/packages/types/src/crashes.ts
@@ -1,5 +1,6 @@
 /** What instances tell each other of targets that crashed. */
 import type { CallerDigest, RequestDigest, TargetRun } from './ids';
+import type { StoreMoment } from './storeMoment';
 
 /** A request as one caller asked it. */
 export interface AskedRequest {
@@ -23,4 +24,6 @@
 export interface CrashReport {
   crashes: readonly TargetCrash[];
   answered: readonly AnsweredRequest[];
+  /** Where it stood in the store, if it was filed again after the store had lost it. */
+  place?: StoreMoment;
 }
