Doubt what an older copy brought back by the latest return only

Cause: two returns within ten seconds: the end of the first one's doubt put its facts in force, though the second return's list had been judged anew and a removal been heard since: an instance that had stopped was named again.

--- a/packages/fleet/src/incomingFacts.ts
+++ b/packages/fleet/src/incomingFacts.ts
@@ -175,6 +175,7 @@
     const { beliefs, doubted } = this;
     if (doubted.size === 0) return;
     setTimeout(() => {
+      if (this.doubted !== doubted) return;
       doubted.forEach((record, key) => {
         const removed = beliefs.removed.get(key)?.fact;
         if (!isLeaving(removed) && !beliefs.holds(key)) beliefs.put(record);
--- a/packages/gateway/src/peers/__tests__/membership.test.ts
+++ b/packages/gateway/src/peers/__tests__/membership.test.ts
@@ -19,30 +19,34 @@
 const CALM_AFTER_MS = 8000;
 /** Within this each live instance knows of a change, ms. */
 const KNOWN_WITHIN_MS = 1500;
-/** How often leases are looked at, ms. */
+/** How often leases are looked at and the store is copied, ms. */
 const LOOK_MS = 100;
+/** Copies kept: the oldest is five seconds old. */
+const COPIES = 50;
 
 /** One disturbance: which instance, what happens, and the pause after it, ms. */
 interface Disturbance {
   which: number;
-  what: 'join' | 'stopped' | 'killed' | Cut;
+  what: 'join' | 'stopped' | 'killed' | 'restored' | Cut;
   thenMs: number;
 }
 
 const disturbance: fc.Arbitrary<Disturbance> = fc.record({
   which: fc.nat(299),
-  what: fc.constantFrom('join', 'stopped', 'killed', 'store', 'all', 'none'),
+  what: fc.constantFrom('join', 'stopped', 'killed', 'restored', 'store', 'all', 'none'),
   thenMs: fc.integer({ min: 0, max: 1500 }),
 });
 
 let store: PlayedStore;
 let members: PlayedMembers;
+let copies: ReturnType<PlayedStore['copy']>[];
 let looking: NodeJS.Timeout;
 
 const disturb = ({ which, what }: Disturbance): void => {
   const all = [...members.live.values()];
   const member = all[which % all.length];
-  if (what === 'join') members.join();
+  if (what === 'restored') store.restore(copies[which % copies.length]);
+  else if (what === 'join') members.join();
   else if (what === 'none' || what === 'store' || what === 'all') member.cut = what;
   else if (all.length > 1) members.end(member, what);
 };
@@ -100,7 +104,11 @@
   vi.useFakeTimers();
   store = new PlayedStore(() => performance.now());
   members = new PlayedMembers(store, () => 0.5);
-  looking = setInterval(() => store.expire(), LOOK_MS);
+  copies = [store.copy()];
+  looking = setInterval(() => {
+    store.expire();
+    copies = [...copies, store.copy()].slice(-COPIES);
+  }, LOOK_MS);
 };
 const finish = (): void => {
   members.live.forEach((member) => members.end(member, 'killed'));
@@ -133,6 +141,22 @@
     );
   }, 60_000);
 
+  // Guards against members that follow revisions of before, or lose those whose entries the store has lost.
+  it.each([1, 9, 40, 300])(
+    'agree among %i after the store came back from older copies, in series',
+    async (size) => {
+      const drills = [0, 20, 49, 5].map((which): Disturbance => ({
+        which,
+        what: 'restored',
+        thenMs: 700,
+      }));
+      const killed = { which: 0, what: 'killed', thenMs: 300 } as const;
+      const others: Disturbance[] = size === 1 ? [] : [killed, { ...killed, what: 'store' }];
+      await playAndCheck(size, [{ ...killed, what: 'join' }, ...others, ...drills]);
+    },
+    60_000,
+  );
+
   it.each([100, 300])(
     'agree among %i that start together and lose half',
     async (size) => {
