Hold removals on while the store is away again

Callers would see: all requests refused during the second of two outages.

Cause: removals of lapsed entries were held for 2.2 s from the first return, whether or not the store stayed; with the store away again nothing could be written again, and the hold ran out in the middle of the outage.

The test in outage.test.ts fails without the change. A hold that has run out now waits for the store.

--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -10,6 +10,8 @@
 
 /** Longer than entries outlive an outage, ms. */
 const OUTAGE_MS = 1300;
+/** Longer than removals are held, ms. */
+const HELD_MS = 2500;
 
 /** A store that is away for a while and has lost the target's entry when it is back. */
 const storeWithOutage = (history: 'kept' | 'gone') => {
@@ -213,6 +215,31 @@
   });
 });
 
+describe('a target whose entry is missing after an outage', () => {
+  // Guards against all targets being dropped while the store is away again and none can be written again.
+  it('is kept while the store is away again', async () => {
+    const beliefs = new Beliefs();
+    const { store, setAway, back } = storeWithOutage('kept');
+    const follower = followAlone({ store, beliefs });
+    await sleep(50);
+    setAway(true);
+    await sleep(OUTAGE_MS);
+    setAway(false);
+    while (!back()) await sleep(10);
+    await sleep(500);
+    setAway(true);
+    await sleep(HELD_MS);
+    const heldMeanwhile = beliefs.holds('targets/t-1');
+    setAway(false);
+    await sleep(HELD_MS + OUTAGE_MS);
+    follower.stop();
+    expect({ heldMeanwhile, heldInTheEnd: beliefs.holds('targets/t-1') }).toEqual({
+      heldMeanwhile: true,
+      heldInTheEnd: false,
+    });
+  });
+});
+
 describe.each(['kept', 'gone'] as const)(
   'a target whose entry is missing after an outage, with the history %s',
   (history) => {
--- a/packages/fleet/src/__tests__/registration.test.ts
+++ b/packages/fleet/src/__tests__/registration.test.ts
@@ -63,7 +63,11 @@
   vi.useFakeTimers();
   calls = [];
   beliefs = new Beliefs(() => Date.now());
-  facts = new IncomingFacts(beliefs, () => Date.now());
+  facts = new IncomingFacts(
+    beliefs,
+    () => Date.now(),
+    () => true,
+  );
   await start();
 });
 afterEach(async () => {
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -117,7 +117,7 @@
 export const follow = (options: FollowerOptions): Follower => {
   const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random, report } = options;
   const changeLog = new ChangeLog(() => beliefs.size);
-  const incoming = new IncomingFacts(beliefs, now);
+  const incoming = new IncomingFacts(beliefs, now, storeReached);
   let stopped = false;
   let listNext = true;
   /** Until when each followed peer that failed is left alone. */
@@ -157,6 +157,9 @@
       if (beliefs.revision > 0) incoming.hold();
     },
   });
+  function storeReached(): boolean {
+    return reach.status.value.reached;
+  }
   async function ask(): Promise<void> {
     const known = beliefs.moment;
     const answers = await askPeers(known);
--- a/packages/fleet/src/incomingFacts.ts
+++ b/packages/fleet/src/incomingFacts.ts
@@ -17,6 +17,8 @@
 
 /** How long removals are held after an outage that no peer was spared, or the store's return from an older copy, ms. */
 const LAPSE_HOLD_MS = 2200;
+/** How often a hold that has run out looks whether the store is back, ms. */
+const LOOK_AGAIN_MS = 100;
 /** A removed fact that an older copy brought back is believed when it still stands after this, ms: three heartbeats, after which silent writers' entries go, and the time to hear of it. */
 const DOUBT_MS = 10_000;
 
@@ -44,6 +46,7 @@
   constructor(
     private readonly beliefs: Beliefs,
     private readonly now: () => number,
+    private readonly storeReached: () => boolean,
   ) {}
 
   /** Holds removals from now on; what is still missing when that ends is gone. */
@@ -161,7 +164,8 @@
 
   private release(): void {
     this.releasing = undefined;
-    const leftMs = this.holdUntil - this.now();
+    // Nothing can be written again while the store is away once more.
+    const leftMs = this.storeReached() ? this.holdUntil - this.now() : LOOK_AGAIN_MS;
     if (leftMs > 0) {
       this.releasing = setTimeout(() => this.release(), leftMs);
       return;
