What was removed before the store's return stays away, whoever hands a list over

Callers would see: requests sent to a target that had left.

Cause: the doubt about removed facts that an older copy brings back was each instance's own. A list of the same epoch, from a peer that had not seen the removal, put them in force; one from a relay that doubted them left them out for good; a fact that was missing for a while was remembered at no revision, so the next copy's seemed new; a list without a doubted fact did not end the doubt.

Change: a list names what is doubted, lists of the same epoch are judged alike, a lost fact is remembered as it last stood, and a list without a doubted fact ends the doubt. An instance is doubted for as long as its lease can last only (a live one was unknown to others for ten seconds).

Found by plays in virtual time: one to thirty instances, one to three returns from copies up to 3 s old after up to 2.5 s away, revisions lower, the same and higher when next asked, a fresh instance at each return; news must be known 1.5 s later, and configuration, leaving, removal, evacuation and what was lost must not be turned back.

--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -78,6 +78,8 @@
   records: FactRecord[];
   /** Facts that the store lacks, perhaps only until they are written again. */
   missing?: FactRecord[];
+  /** Facts that were removed, and that a store which came back from an older copy has again. */
+  doubted?: FactRecord[];
 }
 
 /** Changes after the revision asked for, in order, up to `revision`. */
--- a/packages/fleet/src/incomingFacts.ts
+++ b/packages/fleet/src/incomingFacts.ts
@@ -12,6 +12,7 @@
  */
 import type { Beliefs } from './beliefs';
 import type { Fact, FactChange, FactChanges, FactList, FactRecord } from './facts';
+import { REGISTRATION_TTL_MS } from './registration';
 import type { Standing } from './restoredFacts';
 import { standingOf } from './restoredFacts';
 
@@ -19,8 +20,10 @@
 const LAPSE_HOLD_MS = 2200;
 /** How often a hold that has run out looks whether the store is back, ms. */
 const LOOK_AGAIN_MS = 100;
-/** A removed fact that an older copy brought back is believed when it still stands after this, ms: three heartbeats, after which silent writers' entries go, and the time to hear of it. */
+/** A removed fact that an older copy brought back is believed when it still stands after this, ms: three heartbeats, after which a silent writer's entry goes, and the time to hear of it. */
 const DOUBT_MS = 10_000;
+/** The same for an instance, whose entry goes with its lease. */
+const INSTANCE_DOUBT_MS = REGISTRATION_TTL_MS + 1000;
 
 /** Facts that outlast a store that has lost them: an older configuration never comes in force, and reports of crashes are filed again. */
 const isKept = (fact: Fact | undefined): boolean =>
@@ -36,12 +39,15 @@
 export class IncomingFacts {
   private readonly held = new Map<string, FactChange>();
 
+  /** Facts that the store lacks, as they stood when it last had them. */
+  private readonly lost = new Map<string, FactRecord>();
+
   private holdUntil = 0;
 
   private releasing: NodeJS.Timeout | undefined;
 
   /** Facts that were removed and that an older copy of the store brought back. */
-  private doubted = new Map<string, FactRecord>();
+  private readonly doubted = new Map<string, FactRecord>();
 
   constructor(
     private readonly beliefs: Beliefs,
@@ -69,11 +75,11 @@
   /** Takes a list, unless a later state is known; what it lacks was removed. */
   takeList(list: FactList): boolean {
     const { beliefs } = this;
-    if (beliefs.revision === 0) beliefs.startEpoch(list);
+    if (beliefs.revision === 0) this.takeFirst(list);
     else if (list.epoch > beliefs.epoch) this.takeRestored(list);
     else if (list.epoch < beliefs.epoch || list.revision < beliefs.revision) return false;
     else this.takeCurrent(list);
-    list.records.forEach((record) => this.take(record));
+    list.records.forEach((record) => this.takeListed(record));
     this.takeMissing(list);
     beliefs.advance(list.revision);
     return true;
@@ -89,13 +95,24 @@
       ...moment,
       records: records.filter((record) => !isMissing(record)),
       ...(missing.length > 0 ? { missing } : {}),
+      ...(this.doubted.size > 0 ? { doubted: [...this.doubted.values()] } : {}),
     };
   }
 
+  private takeFirst(list: FactList): void {
+    this.beliefs.startEpoch(list);
+    this.takeDoubted(list);
+  }
+
   /** Removes what a list of the same epoch lacks. */
   private takeCurrent(list: FactList): void {
     const { beliefs } = this;
-    const { revision, missing = [] } = list;
+    const { records, revision, missing = [] } = list;
+    const listed = new Set(records.map(({ key }) => key));
+    this.doubted.forEach((_, key) => {
+      if (!listed.has(key)) this.doubted.delete(key);
+    });
+    this.takeDoubted(list);
     const heldByPeer = new Set(missing.map(({ key }) => key));
     // What stands at no revision is missing already, and its removal held.
     const gone = beliefs.missingFrom(list).filter((key) => beliefs.revisionOf(key) > 0);
@@ -109,14 +126,14 @@
   private takeRestored(list: FactList): void {
     const { beliefs } = this;
     const followed = beliefs.moment;
+    this.doubted.clear();
+    this.takeDoubted(list);
     const missing = beliefs.missingFrom(list);
     beliefs.startEpoch(list);
     this.held.clear();
     this.hold();
-    this.doubted = new Map();
     const outdated = list.records.filter((record) => this.judge(record) === 'outdated');
     missing.forEach((key) => this.miss(key, list.revision));
-    this.reviewDoubted();
     beliefs.restored({ ...beliefs.moment, followed, missing, outdated });
   }
 
@@ -124,15 +141,51 @@
     const { beliefs } = this;
     const { key, revision } = listed;
     const held = beliefs.recordOf(key);
+    this.lost.delete(key);
     const standing = standingOf(listed, held, beliefs.removed.get(key));
     if (standing === 'news') beliefs.put(listed);
     else if (held) beliefs.rebase(key, revision);
-    else this.doubted.set(key, listed);
+    else this.doubt(listed);
     return standing;
   }
 
+  /** Takes a listed record, unless it is one that has been removed. */
+  private takeListed(listed: FactRecord): void {
+    const { beliefs } = this;
+    const { key } = listed;
+    const removed = beliefs.holds(key) ? undefined : beliefs.removed.get(key);
+    if (removed && standingOf(listed, undefined, removed) === 'outdated') this.doubt(listed);
+    else this.take(listed);
+  }
+
+  /** Takes a peer's word that facts were removed before the store's return. */
+  private takeDoubted({ doubted = [] }: FactList): void {
+    doubted.forEach((record) => {
+      this.beliefs.remove(record.key, record.revision);
+      this.doubt(record);
+    });
+  }
+
+  /** Doubts a fact for a while, and believes it in the end if it still stands; a target that was leaving does not come back. */
+  private doubt(listed: FactRecord): void {
+    const { beliefs, doubted } = this;
+    const { key } = listed;
+    if (doubted.has(key)) return;
+    // Told apart from an earlier doubt of the same record.
+    const record = { ...listed };
+    doubted.set(key, record);
+    const doubtMs = record.fact.kind === 'instance' ? INSTANCE_DOUBT_MS : DOUBT_MS;
+    setTimeout(() => {
+      if (doubted.get(key) !== record) return;
+      doubted.delete(key);
+      if (!isLeaving(beliefs.removed.get(key)?.fact)) beliefs.put(record);
+    }, doubtMs).unref();
+  }
+
   /** Holds the removal of a fact that the store lacks. */
   private miss(key: string, revision: number): void {
+    const record = this.beliefs.recordOf(key);
+    if (record && record.revision > 0) this.lost.set(key, record);
     this.beliefs.rebase(key, 0);
     if (isKept(this.beliefs.factOf(key))) return;
     this.held.set(key, { key, revision, removed: true });
@@ -159,6 +212,7 @@
       return;
     }
     this.held.delete(key);
+    this.lost.delete(key);
     this.beliefs.take(change);
   }
 
@@ -170,21 +224,12 @@
       this.releasing = setTimeout(() => this.release(), leftMs);
       return;
     }
-    this.held.forEach((change) => this.beliefs.take(change));
+    this.held.forEach((change, key) => {
+      this.beliefs.take(change);
+      const lost = this.lost.get(key);
+      if (lost) this.beliefs.removed.note(lost);
+    });
     this.held.clear();
-  }
-
-  /** Believes in the end what still stands; a target that was leaving does not come back. */
-  private reviewDoubted(): void {
-    const { beliefs, doubted } = this;
-    if (doubted.size === 0) return;
-    setTimeout(() => {
-      if (this.doubted !== doubted) return;
-      doubted.forEach((record, key) => {
-        const removed = beliefs.removed.get(key)?.fact;
-        if (!isLeaving(removed) && !beliefs.holds(key)) beliefs.put(record);
-      });
-      doubted.clear();
-    }, DOUBT_MS).unref();
+    this.lost.clear();
   }
 }
--- a/packages/gateway/src/peers/__fixtures__/playedStore.ts
+++ b/packages/gateway/src/peers/__fixtures__/playedStore.ts
@@ -71,6 +71,11 @@
     this.changes.push(record ?? { key, revision: this.revision, removed: true });
   }
 
+  /** The fact under a key, if any. */
+  factOf(key: string): FactRecord['fact'] | undefined {
+    return this.held.get(key)?.record.fact;
+  }
+
   /** A copy of everything as it stands. */
   copy(): Copy {
     return {
