--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -34,6 +34,7 @@
   'target-asks-for-pause',
   'configuration-changes',
   'domain-evacuated',
+  'store-restored',
 ] as const;
 
 /** One planned fault. */
