A target that had left does not come back by an earlier entry

Cause: what an entry had said of leaving went with the entry; one from before, written again or read from an older copy of the store after the doubt about it has ended, put the target back. The test fails without the change.

It now stands with what the target said of itself, which outlasts its entry.

--- a/packages/gateway/src/targets/__tests__/registry.test.ts
+++ b/packages/gateway/src/targets/__tests__/registry.test.ts
@@ -153,6 +153,16 @@
     expect(registry.reach(ID)!.placed.selfReport.leaving).toBe(false);
   });
 
+  // Guards against an older copy of the store that puts a target back which had left.
+  it('of leaving in its entry holds when an earlier entry comes back', () => {
+    const { registry, put, remove } = setUp();
+    put(entryOf({ writes: 3 }));
+    put(entryOf({ writes: 4, leaving: true }));
+    remove();
+    put(entryOf({ writes: 3 }));
+    expect(registry.reach(ID)!.placed.selfReport.leaving).toBe(true);
+  });
+
   it('does not hold for a later run under its id', () => {
     const { registry, put } = setUp();
     put(entryOf({ startedAt: 100 }));
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -248,7 +248,12 @@
 
   private lapse(id: TargetId): void {
     const target = this.targets.get(id);
-    if (target) this.lapsed.note(target.entry, target.placed.selfReport);
+    if (target) {
+      const { entry, placed } = target;
+      // An older copy of the store may bring back an entry from before it left.
+      if (entry.leaving) placed.selfReport.leaving = true;
+      this.lapsed.note(entry, placed.selfReport);
+    }
     this.drop(id);
   }
 
