--- a/packages/gateway/src/peers/__tests__/restoredStore.test.ts
+++ b/packages/gateway/src/peers/__tests__/restoredStore.test.ts
@@ -40,6 +40,8 @@
   offset: number;
   /** From the store's return to the next drill, ms. */
   thenMs: number;
+  /** The store turns one member away from then on, which has its peers only. */
+  turnsAway: boolean;
 }
 
 const configurationOf = (version: number): FactRecord['fact'] => ({
@@ -134,13 +136,18 @@
     Object.assign(member, { cut });
   });
 
+const turnAwayOne = (): void => {
+  const [first, ...others] = members.live.values();
+  if (others.length > 0) Object.assign(first, { cut: 'store' });
+};
+
 const writeAgain = (): void =>
   written.forEach((fact, key) => {
     if (store.factOf(key) !== fact) store.put(key, fact);
   });
 
 /** The changes of some seconds are lost; news comes with the store's return. */
-const drill = async ({ lostMs, awayMs, offset, thenMs }: Drill): Promise<string[]> => {
+const drill = async ({ lostMs, awayMs, offset, thenMs, turnsAway }: Drill): Promise<string[]> => {
   const copy = store.copy();
   configure();
   write('targets/leaves', targetOf('leaves', true, 9));
@@ -158,6 +165,7 @@
   fill(followed + offset - store.revision);
   setTimeout(writeAgain, WRITTEN_AGAIN_MS);
   cutAll('none');
+  if (turnsAway) turnAwayOne();
   members.join();
   return [...found, ...(await pass(thenMs))];
 };
@@ -215,6 +223,7 @@
     awayMs: fc.integer({ min: 0, max: 2500 }),
     offset: fc.integer({ min: -6, max: 8 }),
     thenMs: fc.integer({ min: 0, max: 2500 }),
+    turnsAway: fc.boolean(),
   }),
   { minLength: 1, maxLength: 3 },
 );
