First program: a watch reads everything again where its store is at an earlier revision

That service tells no epoch, so one whose revision is the same or higher by then is not noticed (listed as open).

--- a/packages/platform-kv/src/client/watch.ts
+++ b/packages/platform-kv/src/client/watch.ts
@@ -1,7 +1,8 @@
 /**
  * A watch on a key prefix as an rxjs stream. It re-arms the long poll after
  * every answer, resumes from the newest revision seen, re-reads the whole
- * prefix when the store's event log no longer reaches back, and backs off
+ * prefix when the store's event log no longer reaches back or the store is at
+ * an earlier revision, and backs off
  * with jitter while the store is down so that a fleet of watchers does not
  * hammer a store that is coming back.
  */
@@ -70,7 +71,8 @@
         (reply) => {
           if (stopped) return;
           backoff = baseBackoff;
-          if (reply.compacted) {
+          // Lower than before: the store came back from an older copy.
+          if (reply.compacted || reply.revision < revision) {
             revision = -1;
           } else if (reply.events.length > 0) {
             revision = Math.max(revision, ...reply.events.map((e) => e.modRevision));
