A turned-away instance releases held removals once its peers have heard the store long enough

Callers would see: an instance that the store alone turns away after its return goes on sending to targets that are gone, as long as it is turned away.

Where peers pass on what is written, they must have reached the store for as long as the hold: one that has just regained it has not heard what is written again.

--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -29,6 +29,7 @@
 import type { Beliefs } from './beliefs';
 import { ChangeLog } from './changeLog';
 import type { FactChanges, FactList, InstanceEntry, Store, StoreFailure } from './facts';
+import { REMOVAL_HOLD_MS } from './heldRemovals';
 import { IncomingFacts } from './incomingFacts';
 import { relaysOf } from './relay';
 import type { StoreStatus } from './storeReach';
@@ -117,7 +118,7 @@
 export const follow = (options: FollowerOptions): Follower => {
   const { store, beliefs, self, askPeers, askSnapshot, watchPeer, now, random, report } = options;
   const changeLog = new ChangeLog(() => beliefs.size);
-  const incoming = new IncomingFacts(beliefs, now, storeReached);
+  const incoming = new IncomingFacts(beliefs, now, storeHeard);
   let stopped = false;
   let listNext = true;
   /** Until when each followed peer that failed is left alone. */
@@ -157,8 +158,9 @@
       if (beliefs.revision > 0) incoming.hold();
     },
   });
-  function storeReached(): boolean {
-    return reach.status.value.reached;
+  /** True while what is written to the store is heard of here, itself or through a peer. */
+  function storeHeard(): boolean {
+    return reach.status.value.reached || reach.peerHeardStore;
   }
   async function ask(): Promise<void> {
     const known = beliefs.moment;
@@ -170,6 +172,9 @@
     reach.peerReachedStore = answers.some(
       ({ storeReachedForMs = 0 }) => storeReachedForMs > reach.awayMs,
     );
+    reach.peerHeardStore = answers.some(
+      ({ storeReachedForMs = 0 }) => storeReachedForMs > REMOVAL_HOLD_MS,
+    );
     answers.forEach(({ list, changes }) => {
       if (list) takeList(list);
       if (changes) takeChanges(known.revision, changes);
--- a/packages/fleet/src/heldRemovals.ts
+++ b/packages/fleet/src/heldRemovals.ts
@@ -8,7 +8,7 @@
 import type { FactChange, FactRecord } from './facts';
 
 /** How long removals are held after an outage that no peer was spared, or the store's return from an older copy, ms. */
-const HOLD_MS = 2200;
+export const REMOVAL_HOLD_MS = 2200;
 /** How often a hold that has run out looks whether the store is back, ms. */
 const LOOK_AGAIN_MS = 100;
 
@@ -26,7 +26,7 @@
   constructor(
     private readonly beliefs: Beliefs,
     private readonly now: () => number,
-    private readonly storeReached: () => boolean,
+    private readonly storeHeard: () => boolean,
   ) {}
 
   /** True while removals are to be held. */
@@ -36,8 +36,8 @@
 
   /** Holds removals from now on; what is still missing when that ends is gone. */
   hold(): void {
-    this.holdUntil = this.now() + HOLD_MS;
-    this.releasing ??= setTimeout(() => this.release(), HOLD_MS);
+    this.holdUntil = this.now() + REMOVAL_HOLD_MS;
+    this.releasing ??= setTimeout(() => this.release(), REMOVAL_HOLD_MS);
   }
 
   /** Holds the removal of a fact. */
@@ -69,7 +69,7 @@
   private release(): void {
     this.releasing = undefined;
     // Nothing can be written again while the store is away once more.
-    const leftMs = this.storeReached() ? this.holdUntil - this.now() : LOOK_AGAIN_MS;
+    const leftMs = this.storeHeard() ? this.holdUntil - this.now() : LOOK_AGAIN_MS;
     if (leftMs > 0) {
       this.releasing = setTimeout(() => this.release(), leftMs);
       return;
--- a/packages/fleet/src/incomingFacts.ts
+++ b/packages/fleet/src/incomingFacts.ts
@@ -29,9 +29,9 @@
     private readonly beliefs: Beliefs,
     /** Steady clock, ms. */
     now: () => number,
-    storeReached: () => boolean,
+    storeHeard: () => boolean,
   ) {
-    this.removals = new HeldRemovals(beliefs, now, storeReached);
+    this.removals = new HeldRemovals(beliefs, now, storeHeard);
     this.doubted = new DoubtedFacts(beliefs);
   }
 
--- a/packages/fleet/src/storeReach.ts
+++ b/packages/fleet/src/storeReach.ts
@@ -38,6 +38,9 @@
   /** True while a peer reached the store all through the outage. */
   peerReachedStore = false;
 
+  /** True while a peer that was asked has reached the store for so long that it has heard what was written again. */
+  peerHeardStore = false;
+
   /** When a followed peer failed, until the store has answered since: it may have been the store's failure. */
   private suspectSince: number | undefined;
 
@@ -88,6 +91,7 @@
   lost(failure: StoreFailure): void {
     if (!this.status.value.reached && this.asking) return;
     this.peerReachedStore = false;
+    this.peerHeardStore = false;
     const since = this.suspectSince ?? this.options.now();
     this.status.next({ reached: false, since, reason: failure.message });
     this.asking = timer(0, PEER_ASK_MS).subscribe(() => {
