--- a/packages/fleet/src/__fixtures__/follower.ts
+++ b/packages/fleet/src/__fixtures__/follower.ts
@@ -6,7 +6,7 @@
 import { instanceAt } from './instances';
 
 /** The epoch of a store that never came back from an older copy. */
-export const FIRST = storeEpoch(0);
+export const FIRST_EPOCH = storeEpoch(0);
 
 /** How the store and peers fail in tests. */
 export const DOWN: StoreFailure = { kind: 'unavailable', message: 'down' };
--- a/packages/fleet/src/__tests__/beliefs.test.ts
+++ b/packages/fleet/src/__tests__/beliefs.test.ts
@@ -8,7 +8,7 @@
 import { configurationVersion } from '@cardamomladder/types';
 import type { FactChange, FactChanges, FactList, Store } from '..';
 import { Beliefs, follow } from '..';
-import { FIRST } from '../__fixtures__/follower';
+import { FIRST_EPOCH } from '../__fixtures__/follower';
 import { instanceAt, targetRecord } from '../__fixtures__/instances';
 
 const configuration = (version: number): Configuration => ({
@@ -49,9 +49,9 @@
     // compared with the one held, and none is held for a removed target.
     const beliefs = new Beliefs();
     let answerWatch: (changes: FactChange[]) => void = () => {};
-    const later: FactList = { records: [], epoch: FIRST, revision: 9 };
+    const later: FactList = { records: [], epoch: FIRST_EPOCH, revision: 9 };
     const store = {
-      list: () => okAsync({ records: [], epoch: FIRST, revision: 3 }),
+      list: () => okAsync({ records: [], epoch: FIRST_EPOCH, revision: 3 }),
       epochs: NEVER,
       watch: () =>
         okAsync(undefined)
@@ -59,7 +59,7 @@
           .map(
             () =>
               new Promise<FactChanges>((resolve) => {
-                answerWatch = (changes) => resolve({ changes, epoch: FIRST, revision: 5 });
+                answerWatch = (changes) => resolve({ changes, epoch: FIRST_EPOCH, revision: 5 });
               }),
           ),
     } as unknown as Store;
--- a/packages/fleet/src/__tests__/crashReports.test.ts
+++ b/packages/fleet/src/__tests__/crashReports.test.ts
@@ -4,7 +4,7 @@
 import type { CrashReport } from '@cardamomladder/types';
 import { callerDigest, requestDigest, targetId, targetRun } from '@cardamomladder/types';
 import { CrashReports, REPORT_KEPT_MS, isCovered } from '..';
-import { FIRST } from '../__fixtures__/follower';
+import { FIRST_EPOCH } from '../__fixtures__/follower';
 
 const crashOf = (run: number, ...requests: string[]) => ({
   run: targetRun(targetId(`t-${run}`), run),
@@ -14,7 +14,7 @@
   })),
 });
 
-const PLACE = { epoch: FIRST, revision: 3 };
+const PLACE = { epoch: FIRST_EPOCH, revision: 3 };
 
 let away: boolean;
 let written: [string, CrashReport][];
@@ -62,7 +62,7 @@
     },
     logName: 'process-1',
     random: () => 0.5,
-    epoch: () => FIRST,
+    epoch: () => FIRST_EPOCH,
     now: () => Date.now(),
     log: () => {},
   });
--- a/packages/fleet/src/__tests__/outage.test.ts
+++ b/packages/fleet/src/__tests__/outage.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, it } from 'vitest';
 import type { FactChanges, PeerAnswer, Store, StoreFailure } from '..';
 import { Beliefs } from '..';
-import { DOWN, FIRST, followAlone } from '../__fixtures__/follower';
+import { DOWN, FIRST_EPOCH, followAlone } from '../__fixtures__/follower';
 import { instanceAt, registeredInstances, targetRecord } from '../__fixtures__/instances';
 
 /** Longer than entries outlive an outage, ms. */
@@ -22,12 +22,13 @@
   // forgot it has to be listed.
   let told = false;
   const afterOutage = () => {
-    if (!wasAway || told || listed > 1) return okAsync({ changes: [], epoch: FIRST, revision: 3 });
+    if (!wasAway || told || listed > 1)
+      return okAsync({ changes: [], epoch: FIRST_EPOCH, revision: 3 });
     if (history === 'gone')
       return errAsync<FactChanges, StoreFailure>({ kind: 'history-gone', message: 'gone' });
     told = true;
     const removal = { key: 'targets/t-1', revision: 4, removed: true as const };
-    return okAsync({ changes: [removal], epoch: FIRST, revision: 4 });
+    return okAsync({ changes: [removal], epoch: FIRST_EPOCH, revision: 4 });
   };
   const store = {
     list: () => {
@@ -35,7 +36,7 @@
       listed += 1;
       return okAsync({
         records: listed === 1 ? [targetRecord('t-1', 3)] : [],
-        epoch: FIRST,
+        epoch: FIRST_EPOCH,
         revision: 2 + listed,
       });
     },
@@ -89,10 +90,10 @@
     list: () =>
       silent
         ? after(CALL_LIMIT_MS).andThen(() => errAsync(DOWN))
-        : okAsync({ records: instances, epoch: FIRST, revision: 2 }),
+        : okAsync({ records: instances, epoch: FIRST_EPOCH, revision: 2 }),
     watch: (_: number, waitMs: number) =>
       after(waitMs + CALL_LIMIT_MS).andThen(() =>
-        silent ? errAsync(DOWN) : okAsync({ changes: [], epoch: FIRST, revision: 2 }),
+        silent ? errAsync(DOWN) : okAsync({ changes: [], epoch: FIRST_EPOCH, revision: 2 }),
       ),
     instanceKey: (id: string) => `instances/${id}`,
     epochs: NEVER,
@@ -110,10 +111,10 @@
   const instances = registeredInstances(20);
   let away = false;
   const store = {
-    list: () => okAsync({ records: instances, epoch: FIRST, revision: 20 }),
+    list: () => okAsync({ records: instances, epoch: FIRST_EPOCH, revision: 20 }),
     watch: () =>
       ResultAsync.fromSafePromise(sleep(10)).andThen(() =>
-        away ? errAsync(DOWN) : okAsync({ changes: [], epoch: FIRST, revision: 20 }),
+        away ? errAsync(DOWN) : okAsync({ changes: [], epoch: FIRST_EPOCH, revision: 20 }),
       ),
     instanceKey: (id: string) => `instances/${id}`,
     epochs: NEVER,
@@ -129,7 +130,12 @@
         const heardBefore = Math.max(0, performance.now() - lostAt);
         const noticed = peer.id === firstAsked ? heardBefore > 0 : heardBefore > 1000;
         if (noticed) return errAsync(DOWN);
-        const answer = { changes: [], epoch: FIRST, revision: 20, storeHeardMsAgo: heardBefore };
+        const answer = {
+          changes: [],
+          epoch: FIRST_EPOCH,
+          revision: 20,
+          storeHeardMsAgo: heardBefore,
+        };
         return ResultAsync.fromSafePromise(sleep(travelMs, answer));
       }),
   });
@@ -150,11 +156,11 @@
     const instances = registeredInstances(2);
     const gone = { key: 'instances/i-0', revision: 3, removed: true as const };
     const store = {
-      list: () => okAsync({ records: instances, epoch: FIRST, revision: 2 }),
+      list: () => okAsync({ records: instances, epoch: FIRST_EPOCH, revision: 2 }),
       watch: (_: number, waitMs: number) =>
         ResultAsync.fromSafePromise(sleep(waitMs)).map(() => ({
           changes: [],
-          epoch: FIRST,
+          epoch: FIRST_EPOCH,
           revision: 3,
         })),
       instanceKey: (id: string) => `instances/${id}`,
@@ -162,7 +168,8 @@
     } as unknown as Store;
     const follower = followAlone({
       store,
-      watchPeer: () => okAsync({ changes: [gone], epoch: FIRST, revision: 3, storeHeardMsAgo: 0 }),
+      watchPeer: () =>
+        okAsync({ changes: [gone], epoch: FIRST_EPOCH, revision: 3, storeHeardMsAgo: 0 }),
     });
     await sleep(600);
     follower.stop();
@@ -199,7 +206,7 @@
         ResultAsync.fromSafePromise(sleep(20)).andThen(() =>
           relayLost
             ? errAsync(DOWN)
-            : okAsync({ changes: [], epoch: FIRST, revision: 2, storeHeardMsAgo: 0 }),
+            : okAsync({ changes: [], epoch: FIRST_EPOCH, revision: 2, storeHeardMsAgo: 0 }),
         ),
     });
     await sleep(100);
--- a/packages/fleet/src/__tests__/packedFacts.test.ts
+++ b/packages/fleet/src/__tests__/packedFacts.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { storeEpoch } from '@cardamomladder/types';
 import { PackedChanges, pack, unpackChanges } from '..';
-import { FIRST } from '../__fixtures__/follower';
+import { FIRST_EPOCH } from '../__fixtures__/follower';
 import { targetRecord } from '../__fixtures__/instances';
 
 const changesOf = (count: number) => [
@@ -30,9 +30,11 @@
   it('are packed once for all that ask from the same revision', () => {
     const packed = new PackedChanges();
     const changes = changesOf(5);
-    const first = packed.between({ epoch: FIRST, revision: 0 }, 5, changes);
-    expect(packed.between({ epoch: FIRST, revision: 0 }, 5, changes)).toBe(first);
-    expect(packed.between({ epoch: FIRST, revision: 1 }, 5, changes.slice(1))).not.toBe(first);
+    const first = packed.between({ epoch: FIRST_EPOCH, revision: 0 }, 5, changes);
+    expect(packed.between({ epoch: FIRST_EPOCH, revision: 0 }, 5, changes)).toBe(first);
+    expect(packed.between({ epoch: FIRST_EPOCH, revision: 1 }, 5, changes.slice(1))).not.toBe(
+      first,
+    );
     expect(packed.between({ epoch: storeEpoch(1), revision: 0 }, 5, changes)).not.toBe(first);
   });
 
--- a/packages/fleet/src/__tests__/registration.test.ts
+++ b/packages/fleet/src/__tests__/registration.test.ts
@@ -6,7 +6,7 @@
 import type { FactRecord, Registration, Store } from '..';
 import { Beliefs, startRegistration } from '..';
 import { IncomingFacts } from '../incomingFacts';
-import { FIRST } from '../__fixtures__/follower';
+import { FIRST_EPOCH } from '../__fixtures__/follower';
 import { instanceAt } from '../__fixtures__/instances';
 
 const SELF = instanceAt('i-1', 'north-a', 'north');
@@ -51,7 +51,7 @@
     report: () => {},
   });
   await vi.advanceTimersByTimeAsync(10);
-  facts.takeList({ epoch: FIRST, revision: WRITTEN_AT, records: [entryAt(WRITTEN_AT)] });
+  facts.takeList({ epoch: FIRST_EPOCH, revision: WRITTEN_AT, records: [entryAt(WRITTEN_AT)] });
   calls = [];
 };
 const restore = async (records: FactRecord[]): Promise<void> => {
--- a/packages/fleet/src/__tests__/relay.test.ts
+++ b/packages/fleet/src/__tests__/relay.test.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import type { FactChange, InstanceEntry, RegisteredInstance } from '..';
 import { ChangeLog, relayCount, relaysOf } from '..';
-import { FIRST } from '../__fixtures__/follower';
+import { FIRST_EPOCH } from '../__fixtures__/follower';
 import { instanceAt } from '../__fixtures__/instances';
 
 const DOMAINS = [
@@ -112,11 +112,11 @@
           steps.forEach(([count, listed]) => {
             const changes = Array.from({ length: count }, (_, i) => removal(at + i + 1));
             all.push(...changes.map((c) => c.revision));
-            if (listed) log.restart({ epoch: FIRST, revision: at + count });
-            else log.add(at, { changes, epoch: FIRST, revision: at + count });
+            if (listed) log.restart({ epoch: FIRST_EPOCH, revision: at + count });
+            else log.add(at, { changes, epoch: FIRST_EPOCH, revision: at + count });
             at += count;
           });
-          const given = log.since({ epoch: FIRST, revision: asked });
+          const given = log.since({ epoch: FIRST_EPOCH, revision: asked });
           if (given)
             expect(given.map((c) => c.revision)).toEqual(
               all.filter((revision) => revision > asked),
@@ -128,9 +128,9 @@
 
   it('start again after a gap: what came in between is not claimed', () => {
     const log = new ChangeLog();
-    log.add(0, { changes: [removal(1)], epoch: FIRST, revision: 1 });
-    log.add(5, { changes: [removal(6)], epoch: FIRST, revision: 6 });
-    expect(log.since({ epoch: FIRST, revision: 1 })).toBeUndefined();
-    expect(log.since({ epoch: FIRST, revision: 5 })).toEqual([removal(6)]);
+    log.add(0, { changes: [removal(1)], epoch: FIRST_EPOCH, revision: 1 });
+    log.add(5, { changes: [removal(6)], epoch: FIRST_EPOCH, revision: 6 });
+    expect(log.since({ epoch: FIRST_EPOCH, revision: 1 })).toBeUndefined();
+    expect(log.since({ epoch: FIRST_EPOCH, revision: 5 })).toEqual([removal(6)]);
   });
 });
--- a/packages/fleet/src/__tests__/snapshot.test.ts
+++ b/packages/fleet/src/__tests__/snapshot.test.ts
@@ -5,12 +5,12 @@
 import { describe, expect, it } from 'vitest';
 import type { FactList, Store, StoreFailure } from '..';
 import { Beliefs, pack, unpackFacts } from '..';
-import { FIRST, followAlone } from '../__fixtures__/follower';
+import { FIRST_EPOCH, followAlone } from '../__fixtures__/follower';
 import { targetRecord } from '../__fixtures__/instances';
 
 const LIST: FactList = {
   records: [targetRecord('t-1', 3), targetRecord('t-2', 7)],
-  epoch: FIRST,
+  epoch: FIRST_EPOCH,
   revision: 9,
 };
 
@@ -34,7 +34,7 @@
       if (failure) return errAsync(failure);
       const record = targetRecord('t-3', 10);
       const changes = revision < 10 ? [record] : [];
-      return okAsync({ changes, epoch: FIRST, revision: 10 });
+      return okAsync({ changes, epoch: FIRST_EPOCH, revision: 10 });
     },
     instanceKey: (id: string) => `instances/${id}`,
     epochs: NEVER,
