Take each record of a list once; leave a failed or late relay alone in one place

Each of the three kinds of list now takes its own records. A relay that failed and one that is an epoch behind were left alone by two equal blocks.

--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -228,12 +228,8 @@
     const known = beliefs.moment;
     const askedAt = now();
     const heard = await watchPeer(relay, known, reach.suspected ? 0 : RELAY_WAIT_MS);
-    if (heard.isErr()) {
-      reach.suspect();
-      avoidedUntil.set(relay.id, now() + RELAY_PAUSE_MS);
-      return undefined;
-    }
-    if (heard.value.epoch < beliefs.epoch) {
+    if (heard.isErr()) reach.suspect();
+    if (heard.isErr() || heard.value.epoch < beliefs.epoch) {
       avoidedUntil.set(relay.id, now() + RELAY_PAUSE_MS);
       return undefined;
     }
--- a/packages/fleet/src/incomingFacts.ts
+++ b/packages/fleet/src/incomingFacts.ts
@@ -58,9 +58,7 @@
     else if (list.epoch > beliefs.epoch) this.takeRestored(list);
     else if (list.epoch < beliefs.epoch || list.revision < beliefs.revision) return false;
     else this.takeCurrent(list);
-    list.records.forEach((record) => this.takeListed(record));
     this.takeMissing(list);
-    beliefs.advance(list.revision);
     return true;
   }
 
@@ -81,6 +79,7 @@
   private takeFirst(list: FactList): void {
     this.beliefs.startEpoch(list);
     this.takeDoubted(list);
+    list.records.forEach((record) => this.takeListed(record));
   }
 
   /** Removes what a list of the same epoch lacks. */
@@ -96,6 +95,8 @@
       .filter((key) => !heldByPeer.has(key))
       .forEach((key) => this.take({ key, revision, removed: true }));
     gone.filter((key) => heldByPeer.has(key)).forEach((key) => this.miss(key, revision));
+    records.forEach((record) => this.takeListed(record));
+    beliefs.advance(revision);
   }
 
   /** Moves all that is known to the epoch of a list, by the revisions there. */
