The store's reach judges peers' answers; questions to peers in a module of their own

StoreReach now takes what the peers of a round say and derives both, and tells whether what is written to the store is heard.

Behaviour is as it was: the tests of fleet and peers pass, unchanged.

--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -21,7 +21,6 @@
  *   watch from a revision of before would miss what was written since. Any
  *   answer of a later epoch leads to a list.
  */
-import type { ResultAsync } from 'neverthrow';
 import type { BehaviorSubject } from 'rxjs';
 import { Subject, firstValueFrom, race, timer } from 'rxjs';
 import type { StoreMoment } from '@cardamomladder/types';
@@ -29,8 +28,8 @@
 import type { Beliefs } from './beliefs';
 import { ChangeLog } from './changeLog';
 import type { FactChanges, FactList, InstanceEntry, Store, StoreFailure } from './facts';
-import { REMOVAL_HOLD_MS } from './heldRemovals';
 import { IncomingFacts } from './incomingFacts';
+import type { PeerQuestion, PeerWatch, SnapshotQuestion } from './peerQuestions';
 import { relaysOf } from './relay';
 import type { StoreStatus } from './storeReach';
 import { StoreReach } from './storeReach';
@@ -53,36 +52,6 @@
 /** How long a followed peer that failed is left alone, ms: the entry of one that was killed is gone by then. */
 const RELAY_PAUSE_MS = 3000;
 
-/** What a peer answers: the changes after the revision asked for, or all facts where it does not keep these; and for how long it has reached the store, unset while it does not. */
-export interface PeerAnswer {
-  storeReachedForMs?: number;
-  changes?: FactChanges;
-  list?: FactList;
-}
-
-/** Asks a peer that the settings name for all its facts; undefined when none has them and reaches the store. */
-export type SnapshotQuestion = () => Promise<FactList | undefined>;
-
-/** Asks some peers for facts newer than `known`; an empty list when none answers. */
-export type PeerQuestion = (known: StoreMoment) => Promise<PeerAnswer[]>;
-
-/** What a peer that watches the store passes on, and how long ago the store last answered it, ms. */
-export interface FollowedFacts extends FactChanges {
-  storeHeardMsAgo: number;
-  /** All facts in place of changes, where the peer does not keep these. */
-  list?: FactList;
-}
-
-/**
- * Waits at a peer that watches the store for changes after `known`. Fails
- * as the store would; `unavailable` also when the peer doesn't watch it.
- */
-export type PeerWatch = (
-  peer: InstanceEntry,
-  known: StoreMoment,
-  waitMs: number,
-) => ResultAsync<FollowedFacts, StoreFailure>;
-
 /** What a follower reports for the log: a list of all facts, taken or not, or a history that is gone; with the revision followed so far. */
 export type FollowerEvent =
   | ({ event: 'listed'; followed: StoreMoment; taken: boolean } & StoreMoment)
@@ -158,23 +127,14 @@
       if (beliefs.revision > 0) incoming.hold();
     },
   });
-  /** True while what is written to the store is heard of here, itself or through a peer. */
   function storeHeard(): boolean {
-    return reach.status.value.reached || reach.peerHeardStore;
+    return reach.storeHeard;
   }
   async function ask(): Promise<void> {
     const known = beliefs.moment;
     const answers = await askPeers(known);
     if (reach.status.value.reached || stopped) return;
-    // Only the last answers count, and only from peers that reached the store
-    // all the while: one that has not noticed the outage yet, or regained the
-    // store a moment ago, knows no more of the lapsed entries than this one.
-    reach.peerReachedStore = answers.some(
-      ({ storeReachedForMs = 0 }) => storeReachedForMs > reach.awayMs,
-    );
-    reach.peerHeardStore = answers.some(
-      ({ storeReachedForMs = 0 }) => storeReachedForMs > REMOVAL_HOLD_MS,
-    );
+    reach.peersAnswered(answers.map(({ storeReachedForMs = 0 }) => storeReachedForMs));
     answers.forEach(({ list, changes }) => {
       if (list) takeList(list);
       if (changes) takeChanges(known.revision, changes);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -14,16 +14,14 @@
 export type { BeliefChange, StoreRestored } from './beliefs';
 export { Beliefs } from './beliefs';
 export { ChangeLog } from './changeLog';
+export type { Follower, FollowerEvent, FollowerOptions } from './follower';
 export type {
   FollowedFacts,
-  Follower,
-  FollowerEvent,
-  FollowerOptions,
   PeerAnswer,
   PeerQuestion,
-  SnapshotQuestion,
   PeerWatch,
-} from './follower';
+  SnapshotQuestion,
+} from './peerQuestions';
 export type { StoreStatus } from './storeReach';
 export type { RegisteredInstance } from './relay';
 export { relayCount, relaysOf } from './relay';
--- a/packages/fleet/src/storeReach.ts
+++ b/packages/fleet/src/storeReach.ts
@@ -5,6 +5,7 @@
 import type { Subscription } from 'rxjs';
 import { BehaviorSubject, timer } from 'rxjs';
 import type { InstanceEntry, StoreFailure } from './facts';
+import { REMOVAL_HOLD_MS } from './heldRemovals';
 
 /** How often peers are asked while the store is out of reach, ms. */
 const PEER_ASK_MS = 300;
@@ -38,8 +39,8 @@
   /** True while a peer reached the store all through the outage. */
   peerReachedStore = false;
 
-  /** True while a peer that was asked has reached the store for so long that it has heard what was written again. */
-  peerHeardStore = false;
+  /** True while a peer has reached the store for so long that it has heard what was written again. */
+  private peerHeardStore = false;
 
   /** When a followed peer failed, until the store has answered since: it may have been the store's failure. */
   private suspectSince: number | undefined;
@@ -67,6 +68,11 @@
     return this.suspectSince !== undefined;
   }
 
+  /** True while what is written to the store is heard of here, itself or through a peer. */
+  get storeHeard(): boolean {
+    return this.status.value.reached || this.peerHeardStore;
+  }
+
   /** How long the store has been away, ms. */
   get awayMs(): number {
     return this.options.now() - this.status.value.since;
@@ -77,6 +83,18 @@
     return this.heardAt === undefined ? NEVER_HEARD_MS : this.options.now() - this.heardAt;
   }
 
+  /**
+   * Takes for how long the peers of one round have reached the store, ms. Only
+   * the last answers count, and only from peers that reached it all the while:
+   * one that has not noticed the outage yet, or regained the store a moment
+   * ago, knows no more of the lapsed entries than this one.
+   */
+  peersAnswered(reachedForMs: readonly number[]): void {
+    const longestMs = Math.max(0, ...reachedForMs);
+    this.peerReachedStore = longestMs > this.awayMs;
+    this.peerHeardStore = longestMs > REMOVAL_HOLD_MS;
+  }
+
   /** Takes a followed peer's failure, which may have been the store's. */
   suspect(): void {
     this.suspectSince ??= this.options.now();
