One memory of what was removed of late, for facts and for targets that lapsed

RemovedFacts wrote again what LapsedTargets did: a map by key whose values are forgotten a minute after they were set. RecentMap in the types package serves both. A key that is set again moves to the end, as the rule that the oldest come first asks for; in RemovedFacts it kept its place, and what stood behind it could be forgotten up to a minute late. LatelyGone stays: it tells when it forgot.

--- a/packages/fleet/src/beliefs.ts
+++ b/packages/fleet/src/beliefs.ts
@@ -16,9 +16,11 @@
   StoreMoment,
   TargetId,
 } from '@cardamomladder/types';
-import { storeEpoch } from '@cardamomladder/types';
+import { RecentMap, storeEpoch } from '@cardamomladder/types';
 import type { Fact, FactChange, FactList, FactRecord, InstanceEntry, TargetEntry } from './facts';
-import { RemovedFacts } from './removedFacts';
+
+/** How long a removed fact is remembered, ms: far longer than a copy of the store is old. */
+const REMOVED_KEPT_MS = 60_000;
 
 /** The store came back from an older copy, and beliefs have moved to its new epoch. */
 export interface StoreRestored extends StoreMoment {
@@ -62,13 +64,13 @@
   /** The store's revision up to which changes are known; 0 before the first list. */
   revision = 0;
 
-  /** What was removed of late. */
-  readonly removed: RemovedFacts;
+  /** What was removed of late, as it last stood: a store that comes back from an older copy has some of it again. */
+  readonly removed: RecentMap<string, FactRecord>;
 
   private readonly records = new Map<string, FactRecord>();
 
   constructor(now: () => number = () => performance.now()) {
-    this.removed = new RemovedFacts(now);
+    this.removed = new RecentMap(REMOVED_KEPT_MS, now);
   }
 
   /** Up to where changes are known. */
@@ -127,7 +129,7 @@
     // What can't be understood names no target: one that stood there is gone.
     if (record.fact.kind === 'invalid' && this.factOf(record.key)?.kind === 'target')
       this.remove(record.key, record.revision);
-    this.removed.back(record.key);
+    this.removed.delete(record.key);
     this.records.set(record.key, record);
     this.apply(record);
   }
@@ -159,7 +161,7 @@
     const held = this.records.get(key);
     if (!held) return;
     this.records.delete(key);
-    this.removed.note(held);
+    this.removed.set(key, held);
     const { fact } = held;
     if (fact.kind === 'target') {
       this.changes.next({ kind: 'target-gone', id: fact.target.id, revision });
--- a/packages/fleet/src/heldRemovals.ts
+++ b/packages/fleet/src/heldRemovals.ts
@@ -77,7 +77,7 @@
     this.held.forEach((change, key) => {
       this.beliefs.take(change);
       const lost = this.lost.get(key);
-      if (lost) this.beliefs.removed.note(lost);
+      if (lost) this.beliefs.removed.set(key, lost);
     });
     this.held.clear();
     this.lost.clear();
--- a/packages/gateway/src/targets/lapsedTargets.ts
+++ b/packages/gateway/src/targets/lapsedTargets.ts
@@ -6,6 +6,7 @@
 import type { TargetEntry } from '@cardamomladder/fleet';
 import type { SelfReport } from '@cardamomladder/steering';
 import type { TargetId } from '@cardamomladder/types';
+import { RecentMap } from '@cardamomladder/types';
 import { compareRuns } from './runs';
 
 /** How long a target is remembered, ms: far longer than entries take to come back. */
@@ -14,37 +15,29 @@
 interface Lapsed {
   entry: TargetEntry;
   selfReport: SelfReport;
-  at: number;
 }
 
 /** Remembers targets that have gone. */
 export class LapsedTargets {
-  private readonly lapsed = new Map<TargetId, Lapsed>();
+  private readonly lapsed: RecentMap<TargetId, Lapsed>;
 
   constructor(
     /** Steady clock, ms. */
-    private readonly now: () => number,
-  ) {}
+    now: () => number,
+  ) {
+    this.lapsed = new RecentMap(REMEMBER_MS, now);
+  }
 
   /** Notes that the target's entry has gone. */
   note(entry: TargetEntry, selfReport: SelfReport): void {
-    this.forget();
-    this.lapsed.set(entry.id, { entry, selfReport, at: this.now() });
+    this.lapsed.set(entry.id, { entry, selfReport });
   }
 
   /** What the target of this entry has said, if its run is one that had gone. */
   take(entry: TargetEntry): SelfReport | undefined {
-    this.forget();
     const before = this.lapsed.get(entry.id);
     this.lapsed.delete(entry.id);
     if (!before || compareRuns(before.entry, entry) === 'later') return undefined;
     return before.selfReport;
   }
-
-  private forget(): void {
-    const since = this.now() - REMEMBER_MS;
-    this.lapsed.forEach(({ at }, id) => {
-      if (at < since) this.lapsed.delete(id);
-    });
-  }
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -46,6 +46,7 @@
   targetRun,
 } from './ids';
 export type { AnsweredRequest, AskedRequest, CrashReport, TargetCrash } from './crashes';
+export { RecentMap } from './recentMap';
 export type { StoreMoment } from './storeMoment';
 export { compareMoments } from './storeMoment';
 export { splitAddress } from './address';
