--- a/packages/fleet/src/crashReports.ts
+++ b/packages/fleet/src/crashReports.ts
@@ -137,8 +137,7 @@
     });
     log('heard', news.map(({ id }) => id).join(' '));
     if (!storeReached) return;
-    this.waiting.push(...news.map(({ id, report }) => ({ id, report })));
-    if (!this.writing) this.startWriting();
+    this.writeSoon(...news.map(({ id, report }) => ({ id, report })));
   }
 
   /** Takes it that the store has a report. */
@@ -191,10 +190,12 @@
     const id = this.options.store.reportId(key);
     const isUnderWay = this.gathered?.id === id || this.waiting.some((each) => each.id === id);
     if (isUnderWay || !this.options.book.knows(key)) return;
-    this.waiting.push({
-      id,
-      report: place.revision < UNWRITTEN_FROM ? { ...report, place } : report,
-    });
+    const isPlaced = place.revision < UNWRITTEN_FROM;
+    this.writeSoon({ id, report: isPlaced ? { ...report, place } : report });
+  }
+
+  private writeSoon(...reports: WaitingReport[]): void {
+    this.waiting.push(...reports);
     if (!this.writing) this.startWriting();
   }
 
--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -24,7 +24,7 @@
 import type { BehaviorSubject } from 'rxjs';
 import { Subject, firstValueFrom, race, timer } from 'rxjs';
 import type { StoreMoment } from '@cardamomladder/types';
-import { pause } from '@cardamomladder/types';
+import { momentOf, pause } from '@cardamomladder/types';
 import type { Beliefs } from './beliefs';
 import { ChangeLog } from './changeLog';
 import type { FactChanges, FactList, InstanceEntry, Store, StoreFailure } from './facts';
@@ -107,10 +107,9 @@
     );
   };
   const takeList = (list: FactList): void => {
-    const { epoch, revision } = list;
     const followed = beliefs.moment;
     const taken = incoming.takeList(list);
-    report({ event: 'listed', epoch, revision, followed, taken });
+    report({ event: 'listed', ...momentOf(list), followed, taken });
     if (taken) changeLog.restart(list);
   };
   /** Takes changes after the revision asked for; a later epoch of the store makes a list necessary. */
--- a/packages/fleet/src/packedFacts.ts
+++ b/packages/fleet/src/packedFacts.ts
@@ -14,7 +14,7 @@
 import { LRUCache } from 'lru-cache';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { StoreMoment } from '@cardamomladder/types';
-import { compareMoments } from '@cardamomladder/types';
+import { compareMoments, momentOf } from '@cardamomladder/types';
 import type { FactChange, FactList } from './facts';
 
 /** Compression level: 21 kB of such a list before it is text, 16 kB at the highest level, which takes longer while dozens wait. */
@@ -96,11 +96,10 @@
   constructor(private readonly source: () => FactList) {}
 
   /** The packed list as of at least `moment`, the newest that is known. */
-  at({ epoch, revision }: StoreMoment): Promise<string> {
-    const moment = { epoch, revision };
+  at(moment: StoreMoment): Promise<string> {
     if (this.packed && compareMoments(this.packed.moment, moment) === 0) return this.packed.text;
     const text = pack(this.source());
-    this.packed = { moment, text };
+    this.packed = { moment: momentOf(moment), text };
     return text;
   }
 }
--- a/packages/gateway/src/parts.ts
+++ b/packages/gateway/src/parts.ts
@@ -7,7 +7,13 @@
 import { AnsweredLately, Quarantine } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import { gatewayMetrics, logger } from '@cardamomladder/telemetry';
-import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
+import {
+  failureDomainName,
+  instanceId,
+  momentOf,
+  regionName,
+  socketAddress,
+} from '@cardamomladder/types';
 import { logBeliefs } from './beliefLog';
 import type { DecisionLog } from './decisionLog';
 import { decisionLog } from './decisionLog';
@@ -63,10 +69,8 @@
 const quarantineOf = (beliefs: Beliefs, log: DecisionLog, now: () => number): Quarantine => {
   const quarantine = new Quarantine(now);
   beliefs.changes.subscribe((change) => {
-    if (change.kind === 'crash-report') {
-      const { key, epoch, revision, report } = change;
-      quarantine.file(key, { epoch, revision }, report);
-    }
+    if (change.kind === 'crash-report')
+      quarantine.file(change.key, momentOf(change), change.report);
     if (change.kind === 'crash-report-gone') quarantine.drop(change.key);
   });
   quarantine.changes.subscribe((held) =>
--- a/packages/gateway/src/peers/router.ts
+++ b/packages/gateway/src/peers/router.ts
@@ -22,7 +22,7 @@
 } from '@cardamomladder/fleet';
 import { PackedChanges, PackedFacts } from '@cardamomladder/fleet';
 import type { StoreEpoch, StoreMoment } from '@cardamomladder/types';
-import { compareMoments, storeEpoch } from '@cardamomladder/types';
+import { compareMoments, momentOf, storeEpoch } from '@cardamomladder/types';
 import type { TokenAnswer, TokenQuestion } from '../quota/tokenFormat';
 import { tokenQuestion } from '../quota/tokenFormat';
 import { reportQuestion } from './reportFormat';
@@ -152,9 +152,8 @@
   if (compareMoments(beliefs, known) <= 0) return {};
   const { changeLog } = follower;
   const changes = known.revision > 0 ? changeLog.since(known) : undefined;
-  const { epoch, revision } = changeLog;
   return changes
-    ? { changes: { changes, epoch, revision } }
+    ? { changes: { changes, ...momentOf(changeLog) } }
     : { packed: await packed.at(beliefs.moment) };
 };
 
--- a/packages/gateway/src/peers/watch.ts
+++ b/packages/gateway/src/peers/watch.ts
@@ -2,8 +2,7 @@
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { FollowedFacts, InstanceEntry, PeerWatch, StoreFailure } from '@cardamomladder/fleet';
 import { unpackChanges, unpackFacts } from '@cardamomladder/fleet';
-import type { StoreMoment } from '@cardamomladder/types';
-import { storeEpoch } from '@cardamomladder/types';
+import { momentOf, storeEpoch } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import { peerClient } from './client';
 import type { FollowedChanges } from './router';
@@ -23,8 +22,6 @@
   message: `peer ${peer.id}: ${reason}`,
 });
 
-const momentOf = ({ epoch, revision }: StoreMoment): StoreMoment => ({ epoch, revision });
-
 /** What a followed peer's answer holds, or why it holds nothing. */
 export const followedFacts = (
   peer: InstanceEntry,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -48,7 +48,7 @@
 export type { AnsweredRequest, AskedRequest, CrashReport, TargetCrash } from './crashes';
 export { RecentMap } from './recentMap';
 export type { StoreMoment } from './storeMoment';
-export { compareMoments } from './storeMoment';
+export { compareMoments, momentOf } from './storeMoment';
 export { splitAddress } from './address';
 export { pause } from './pause';
 export type { FailureKind, SchemaIssue } from './errors';
--- a/packages/types/src/storeMoment.ts
+++ b/packages/types/src/storeMoment.ts
@@ -11,6 +11,9 @@
   revision: number;
 }
 
+/** The moment alone, of something that stands at it. */
+export const momentOf = ({ epoch, revision }: StoreMoment): StoreMoment => ({ epoch, revision });
+
 /** Orders moments, earlier ones first, as `Array.sort` expects. */
 export const compareMoments = (a: StoreMoment, b: StoreMoment): number =>
   a.epoch - b.epoch || a.revision - b.revision;
