One rule for an entry that is an earlier state, for restored copies and late writes

isEarlierEntry, for what an older copy shows, stood beside its twin in compareRuns, for late writes: start times where both tell them, else the count of writes. compareRuns now calls it and adds only what is its own: that few writes of a target that tells no start may be a new run's. Compared with the code before over all 450 pairs of start, writes and leaving from three, five and two values: the same. The tests of targets pass, unchanged.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -27,6 +27,7 @@
 export { relayCount, relaysOf } from './relay';
 export type { PackedFailure } from './packedFacts';
 export { PackedChanges, PackedFacts, pack, unpackChanges, unpackFacts } from './packedFacts';
+export { isEarlierEntry } from './restoredFacts';
 export { strongOf } from './strong';
 export type { PassedReport, PassedReports, ReportMark } from './passedReports';
 export { REPORTS_AT_A_TIME, isCovered } from './passedReports';
--- a/packages/fleet/src/restoredFacts.ts
+++ b/packages/fleet/src/restoredFacts.ts
@@ -9,8 +9,8 @@
 /** What a listed record is: new, what is held already, or a state that has passed. */
 export type Standing = 'news' | 'known' | 'outdated';
 
-/** True when an entry is an earlier state of a target's run, or of a run before it. */
-const isEarlierEntry = (entry: TargetEntry, known: TargetEntry): boolean =>
+/** True when an entry is an earlier state of a target's run, or of a run before it, as far as start times and writes tell. */
+export const isEarlierEntry = (entry: TargetEntry, known: TargetEntry): boolean =>
   entry.startedAt !== known.startedAt &&
   entry.startedAt !== undefined &&
   known.startedAt !== undefined
--- a/packages/gateway/src/targets/runs.ts
+++ b/packages/gateway/src/targets/runs.ts
@@ -6,6 +6,7 @@
  * objects as if it remembered them.
  */
 import type { TargetEntry } from '@cardamomladder/fleet';
+import { isEarlierEntry } from '@cardamomladder/fleet';
 
 /** How an entry's run or state stands to the one that is known. */
 export type RunOrder = 'same' | 'later' | 'earlier';
@@ -21,11 +22,10 @@
  */
 export const compareRuns = (known: TargetEntry | undefined, entry: TargetEntry): RunOrder => {
   if (!known) return 'same';
-  if (known.startedAt !== undefined && entry.startedAt !== undefined) {
-    if (entry.startedAt !== known.startedAt)
-      return entry.startedAt > known.startedAt ? 'later' : 'earlier';
-    return entry.writes < known.writes ? 'earlier' : 'same';
+  const isTold = known.startedAt !== undefined && entry.startedAt !== undefined;
+  if (isEarlierEntry(entry, known)) {
+    const mayBeFirst = !isTold && entry.writes <= FIRST_WRITES && !known.leaving;
+    return mayBeFirst ? 'later' : 'earlier';
   }
-  if (entry.writes >= known.writes) return 'same';
-  return entry.writes <= FIRST_WRITES && !known.leaving ? 'later' : 'earlier';
+  return isTold && entry.startedAt !== known.startedAt ? 'later' : 'same';
 };
