--- a/packages/fleet/src/crashReports.ts
+++ b/packages/fleet/src/crashReports.ts
@@ -87,9 +87,10 @@
 
   private filed = 0;
 
-  /** Keys of the reports of what this process saw, and of those that it removed. */
+  /** Keys of the reports of what this process saw. */
   private readonly own = new Set<string>();
 
+  /** Keys of the reports that it removed since the last sweep. */
   private readonly removed = new Set<string>();
 
   private writing = false;
@@ -255,6 +256,8 @@
 
   private removeOld(): void {
     const { book } = this.options;
+    // Copies of the store are far younger than the time between two sweeps.
+    this.removed.clear();
     const keys = book.olderThan(REPORT_KEPT_MS);
     if (keys.length > 0) this.remove(keys);
   }
