Failing test: instances that lose their links to all targets reject their callers

Four separate processes are partitioned from six targets by proxies that tell instances apart by their source address: old and new connections hang, are reset, or new ones hang while old ones live on; one instance, a failure domain, all but one, all; at their start; in series.

The fault proxy gets faults for single source addresses and new-silent, and closes connections that it still defers when it is closed itself.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -37,7 +37,12 @@
     languageOptions: {
       parserOptions: {
         projectService: {
-          allowDefaultProject: ['*.mjs', 'scripts/*.mjs', 'scripts/__tests__/*.mjs'],
+          allowDefaultProject: [
+            '*.mjs',
+            'scripts/*.mjs',
+            'scripts/__tests__/*.mjs',
+            'platform/src/__fixtures__/*.mjs',
+          ],
         },
         tsconfigRootDir: import.meta.dirname,
       },
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -5,25 +5,32 @@
 /**
  * `delay`: every chunk is delayed. `silent`: no data is forwarded, new
  * connections hang. `one-way`: only the client's data is forwarded. `refuse`:
- * new connections are reset. `old-silent`: connections open now never forward
- * data again, new ones work.
+ * new connections are reset. `new-silent`: new connections hang, open ones work.
+ * `old-silent`: connections open now never forward data again, new ones work.
  */
-export type ProxyFault = 'none' | 'delay' | 'silent' | 'one-way' | 'refuse' | 'old-silent';
+export type ProxyFault =
+  'none' | 'delay' | 'silent' | 'one-way' | 'refuse' | 'new-silent' | 'old-silent';
 
 export interface FaultProxy {
   address: string;
   /** Sets the address to which new connections are forwarded. */
   setTarget: (host: string, port: number) => void;
   setFault: (fault: ProxyFault) => void;
-  /** Resets all open connections. */
-  resetAll: () => void;
+  /** Sets a fault for the connections from one source address only. */
+  setSourceFault: (sourceAddress: string, fault: ProxyFault) => void;
+  /** Resets all open connections, or those from one source address. */
+  resetAll: (sourceAddress?: string) => void;
   close: () => Promise<void>;
 }
 
 /** Delay of each chunk under `delay`, ms. */
 const DELAY_MS = 120;
 
+/** Faults during which writes or new connections are deferred. */
+const DEFERRING_FAULTS = new Set<ProxyFault>(['silent', 'one-way', 'new-silent']);
+
 interface ProxiedConnection {
+  source: string;
   client: Socket;
   upstream: Socket;
   /** True if no data is forwarded any more. */
@@ -33,10 +40,19 @@
 /** Starts a proxy on a free loopback port. */
 export const startFaultProxy = async (): Promise<FaultProxy> => {
   let current: ProxyFault = 'none';
+  const faultBySource = new Map<string, ProxyFault>();
+  const faultOf = (source: string): ProxyFault => faultBySource.get(source) ?? current;
   let upstreamAddress = { host: '127.0.0.1', port: 0 };
   const connections = new Set<ProxiedConnection>();
+  const clients = new Set<Socket>();
   /** Writes and new connections deferred by a fault, carried out when it ends. */
-  const deferred: (() => void)[] = [];
+  const deferred: { source: string; carryOut: () => void }[] = [];
+  const carryOutDeferred = (): void => {
+    const isOver = ({ source }: { source: string }) => !DEFERRING_FAULTS.has(faultOf(source));
+    const due = deferred.filter(isOver);
+    deferred.splice(0, deferred.length, ...deferred.filter((entry) => !isOver(entry)));
+    due.forEach(({ carryOut }) => carryOut());
+  };
 
   const forward = (
     connection: ProxiedConnection,
@@ -47,20 +63,24 @@
     const write = () => {
       if (!to.destroyed) to.write(chunk);
     };
+    const { source } = connection;
+    const fault = faultOf(source);
     if (connection.stalled) return;
-    if (current === 'silent' || (current === 'one-way' && toClient)) deferred.push(write);
-    else if (current === 'delay') setTimeout(write, DELAY_MS);
+    if (fault === 'silent' || (fault === 'one-way' && toClient))
+      deferred.push({ source, carryOut: write });
+    else if (fault === 'delay') setTimeout(write, DELAY_MS);
     else write();
   };
-  const openUpstream = (client: Socket): void => {
+  const openUpstream = (client: Socket, source: string): void => {
     const upstream = connect(upstreamAddress);
-    const connection: ProxiedConnection = { client, upstream, stalled: false };
+    const connection: ProxiedConnection = { source, client, upstream, stalled: false };
     connections.add(connection);
     client.on('data', (chunk: Buffer) => forward(connection, upstream, false, chunk));
     upstream.on('data', (chunk: Buffer) => forward(connection, client, true, chunk));
     const closeOther = (peer: Socket) => () => {
       connections.delete(connection);
-      if (!connection.stalled) setTimeout(() => peer.destroy(), current === 'delay' ? DELAY_MS : 0);
+      if (!connection.stalled)
+        setTimeout(() => peer.destroy(), faultOf(source) === 'delay' ? DELAY_MS : 0);
     };
     client.on('error', () => upstream.resetAndDestroy());
     upstream.on('error', () => client.resetAndDestroy());
@@ -68,16 +88,25 @@
     upstream.on('close', closeOther(client));
   };
   const server = createServer((client) => {
-    if (current === 'refuse') client.resetAndDestroy();
-    else if (current === 'silent') deferred.push(() => openUpstream(client));
-    else openUpstream(client);
+    const source = client.remoteAddress ?? '';
+    const fault = faultOf(source);
+    const openOrRefuse = () => {
+      if (faultOf(source) === 'refuse') client.resetAndDestroy();
+      else if (!client.destroyed) openUpstream(client, source);
+    };
+    clients.add(client);
     client.on('error', () => {});
+    client.on('close', () => clients.delete(client));
+    if (fault === 'silent' || fault === 'new-silent')
+      deferred.push({ source, carryOut: openOrRefuse });
+    else openOrRefuse();
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const resetAll = (): void =>
-    connections.forEach(({ client, upstream }) => {
+  const resetAll = (sourceAddress?: string): void =>
+    connections.forEach(({ source, client, upstream }) => {
+      if (sourceAddress !== undefined && source !== sourceAddress) return;
       client.resetAndDestroy();
       upstream.resetAndDestroy();
     });
@@ -91,13 +120,19 @@
       current = fault;
       if (fault === 'old-silent')
         connections.forEach((connection) => Object.assign(connection, { stalled: true }));
-      if (fault !== 'silent' && fault !== 'one-way') deferred.splice(0).forEach((send) => send());
+      carryOutDeferred();
+    },
+    setSourceFault: (sourceAddress, fault) => {
+      faultBySource.set(sourceAddress, fault);
+      if (fault === 'refuse') resetAll(sourceAddress);
+      carryOutDeferred();
     },
     resetAll,
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
         resetAll();
+        clients.forEach((client) => client.destroy());
       }),
   };
 };
