Instances that reach no target serve their callers through a peer

Cause: an instance knew a single way to serve, its own links, and being registered counted as being able to serve.

- ReachMonitor: silence of all targets, or of all new connections, or failed connections to two targets lead to health checks of three targets over new connections; if none is answered within 250 ms the instance is cut off, until a probe is answered.
Backoffs gathered meanwhile are discarded then.
- Requests go to a peer that reaches targets, over the address for peers.
What counts once (deadline, customer and its limit, attempts, retry budget) is counted at the first instance and passed on; a peer never forwards again.
A send that was not connected is moved at once; a booking that may have run is never sent again.
- The registry entry says that an instance is cut off; directories leave it out while another one reaches targets, and name all if none does.
- If nobody reaches targets, requests are rejected at once with the time until the next probe.
- Log kinds reach and forward, gauge targets_reached, counters forwards_total and forwarded_for_peers_total.

--- a/packages/fleet/src/records.ts
+++ b/packages/fleet/src/records.ts
@@ -52,6 +52,8 @@
   failureDomain: FailureDomainName;
   region: RegionName;
   capacity: InstanceCapacity;
+  /** Set while it reaches no target and forwards its callers' requests to peers. */
+  cutOff?: boolean;
 }
 
 /** The decoded value of a record; `invalid` stands for an entry that could not be decoded. */
--- a/packages/fleet/src/registration.ts
+++ b/packages/fleet/src/registration.ts
@@ -23,6 +23,8 @@
 
 /** A registration that is being maintained. */
 export interface Registration {
+  /** Writes the entry again, because it has changed. */
+  update: () => void;
   /** Removes the entry, so that the directory no longer lists this instance. */
   deregister: () => Promise<void>;
 }
@@ -32,6 +34,8 @@
   store: Store;
   clusterState: ClusterState;
   self: InstanceEntry;
+  /** The current entry of this instance; `self` by default. */
+  entry?: () => InstanceEntry;
   now: () => number;
   /** Called for each registration, lapse, failure and removal. */
   report: (event: 'registered' | 'lapsed' | 'failed' | 'left', detail: string) => void;
@@ -39,7 +43,7 @@
 
 /** Registers this instance and maintains the registration until `deregister` is called. */
 export const startRegistration = (options: RegistrationOptions): Registration => {
-  const { store, clusterState, self, now, report } = options;
+  const { store, clusterState, self, now, report, entry = () => self } = options;
   const key = store.instanceKey(self.id);
   let leaseId: number | undefined;
   let writtenAt = 0;
@@ -51,10 +55,26 @@
   let rerun = false;
   let failures = 0;
   let skipped = 0;
+  /** The entry that was written last, as text. */
+  let writtenEntry = '';
 
   const reportFailure = (step: string, failure: StoreFailure) =>
     report('failed', `${step}: ${failure.message}`);
 
+  const writeEntry = async (lease: number): Promise<void> => {
+    const current = entry();
+    const written = await store.register(current, lease);
+    if (written.isErr()) {
+      reportFailure('entry', written.error);
+      return;
+    }
+    leaseId = lease;
+    entryPosition = written.value;
+    writtenAt = now();
+    writtenEntry = JSON.stringify(current);
+    report('registered', `lease ${leaseId}`);
+  };
+
   const register = async (): Promise<void> => {
     const lease = await store.grantLease(REGISTRATION_TTL_MS);
     if (lease.isErr()) {
@@ -64,15 +84,11 @@
     }
     failures = 0;
     if (stopped) return;
-    const written = await store.register(self, lease.value.id);
-    if (written.isErr()) {
-      reportFailure('entry', written.error);
-      return;
-    }
-    leaseId = lease.value.id;
-    entryPosition = written.value;
-    writtenAt = now();
-    report('registered', `lease ${leaseId}`);
+    await writeEntry(lease.value.id);
+  };
+
+  const updateEntry = async (lease: number): Promise<void> => {
+    if (JSON.stringify(entry()) !== writtenEntry) await writeEntry(lease);
   };
 
   const maintain = async (): Promise<void> => {
@@ -87,7 +103,10 @@
     }
     const missing = !clusterState.hasRecord(key) && now() - writtenAt > VISIBLE_WITHIN_MS;
     const renewed = missing ? undefined : await store.renewLease(leaseId);
-    if (renewed?.isOk()) return;
+    if (renewed?.isOk()) {
+      await updateEntry(leaseId);
+      return;
+    }
     if (renewed?.isErr() && renewed.error.kind !== 'lease-ended') {
       reportFailure('renewal', renewed.error);
       return;
@@ -132,6 +151,10 @@
   });
 
   return {
+    update: () => {
+      rerun = busy;
+      runTick();
+    },
     deregister: async () => {
       stopped = true;
       clearInterval(timer);
--- a/packages/gateway/src/components.ts
+++ b/packages/gateway/src/components.ts
@@ -1,6 +1,6 @@
 /** Creates the components that the servers and background tasks of one instance share. */
 import { randomUUID } from 'node:crypto';
-import type { BehaviorSubject } from 'rxjs';
+import { BehaviorSubject, skip } from 'rxjs';
 import type { Follower, InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
 import { ClusterState, CrashReports, follow, startRegistration } from '@cardamomladder/fleet';
 import type { InstanceSettings } from '@cardamomladder/settings';
@@ -38,6 +38,10 @@
   phase: BehaviorSubject<Phase>;
   clusterState: ClusterState;
   self: InstanceEntry;
+  /** True while this instance reaches no target. */
+  cutOff: BehaviorSubject<boolean>;
+  /** The registry entry of this instance as it should be now. */
+  ownEntry: () => InstanceEntry;
   recentPeers: RecentPeers;
   fleet: FleetMembers;
   /** The instances that the directory advertises to callers. */
@@ -139,6 +143,8 @@
   const fleet = new FleetMembers(clusterState, now);
   const recentPeers = createRecentPeers(clusterState, now);
   const quarantine = createQuarantine(clusterState, log, now);
+  const self = ownEntryOf(settings());
+  const cutOff = new BehaviorSubject(false);
   return {
     settings,
     store,
@@ -147,7 +153,9 @@
     metrics: gatewayMetrics(false),
     phase,
     clusterState,
-    self: ownEntryOf(settings()),
+    self,
+    cutOff,
+    ownEntry: () => (cutOff.value ? { ...self, cutOff: true } : self),
     recentPeers,
     fleet,
     advertised: new AdvertisedInstances(clusterState, now),
@@ -161,10 +169,20 @@
 
 /** Starts the follower that keeps the local state in step with the store. */
 export const startStoreFollower = (components: Components): Follower => {
-  const { store, clusterState, recentPeers, crashReports, self, log, metrics, now, ready } =
-    components;
+  const {
+    store,
+    clusterState,
+    recentPeers,
+    crashReports,
+    self,
+    log,
+    metrics,
+    now,
+    ready,
+    ownEntry,
+  } = components;
   const { seeds } = components.settings();
-  const ownServingEntry = () => (ready() ? self : null);
+  const ownServingEntry = () => (ready() ? ownEntry() : null);
   const peers = () => [...knownInstances(clusterState, recentPeers).values()];
   let storeReached = false;
   const exchangeReports = reportExchange({ crashReports, storeReached: () => storeReached, log });
@@ -189,11 +207,15 @@
   return follower;
 };
 
+/** Instances that are cut off at the same moment spread their registry writes over this time, ms; the store limits writes per second. */
+const UPDATE_SPREAD_PER_INSTANCE_MS = 4;
+const MAX_UPDATE_SPREAD_MS = 1000;
+
 /** Starts serving and registers the instance when the first configuration arrives; the returned function gives the registration, if there is one yet. */
 export const registerWhenConfigured = (
   components: Components,
 ): (() => Registration | undefined) => {
-  const { store, clusterState, self, phase, log, now } = components;
+  const { store, clusterState, self, ownEntry, cutOff, fleet, phase, log, now } = components;
   let registration: Registration | undefined;
   const subscription = clusterState.changes.subscribe((change) => {
     if (change.kind !== 'configuration' || phase.value !== 'starting') return;
@@ -203,9 +225,14 @@
       store,
       clusterState,
       self,
+      entry: ownEntry,
       now,
       report: (event, detail) => log.write('registration', undefined, { event, detail }),
     });
   });
+  cutOff.pipe(skip(1)).subscribe(() => {
+    const spreadMs = Math.min(MAX_UPDATE_SPREAD_MS, fleet.size() * UPDATE_SPREAD_PER_INSTANCE_MS);
+    setTimeout(() => registration?.update(), Math.random() * spreadMs).unref();
+  });
   return () => registration;
 };
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -28,6 +28,8 @@
   | 'over-limit'
   | 'quota'
   | 'belief'
+  | 'reach'
+  | 'forward'
   | 'store'
   | 'registration'
   | 'lifecycle';
@@ -53,6 +55,8 @@
   'over-limit': 10,
   quota: 5,
   belief: 50,
+  reach: 10,
+  forward: 10,
   store: 10,
   registration: 10,
   lifecycle: 50,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -1,12 +1,14 @@
 /** Creates the servers of one instance and binds them to their addresses. */
 import type { Server } from 'node:http';
 import type { Follower } from '@cardamomladder/fleet';
-import type { SocketAddress } from '@cardamomladder/types';
+import type { SocketAddress, TargetCrash } from '@cardamomladder/types';
 import { splitAddress } from '@cardamomladder/types';
 import type { Components } from './components';
 import { peerRouter } from './peers/router';
 import { createPeerServer } from './peers/server';
 import { knownInstances } from './peers/recentPeers';
+import { createForwardingPeers, createReachMonitor } from './reach/instanceReach';
+import type { ReachMonitor } from './reach/reachMonitor';
 import type { Quotas } from './quota/quotas';
 import { startQuotas } from './quota/quotas';
 import { createRetryBudgets } from './requests/retryBudgets';
@@ -67,7 +69,7 @@
 /** Reports target crashes, except those explained by a request that is already quarantined. */
 const createCrashDetector = (components: Components): CrashDetector => {
   const { quarantine, recentAnswers, crashReports, log, metrics } = components;
-  return new CrashDetector(refusesConnections, (crash) => {
+  const report = (crash: TargetCrash) => {
     metrics.targetCrashes.inc();
     log.write('target-crashed', undefined, { ...crash });
     if (crash.requests.some((suspect) => quarantine.blocks(suspect))) return;
@@ -75,11 +77,17 @@
     crash.requests
       .filter(({ request }) => recentAnswers.has(request))
       .forEach(({ request }) => crashReports.answered({ request }));
-  });
+  };
+  return new CrashDetector(refusesConnections, report);
 };
 
-const createCallerListener = (components: Components, registry: TargetRegistry, quotas: Quotas) => {
-  const { settings, clusterState, phase, wire, fleet, metrics, log, now } = components;
+const createCallerListener = (
+  components: Components,
+  registry: TargetRegistry,
+  reach: ReachMonitor,
+  quotas: Quotas,
+) => {
+  const { settings, clusterState, phase, wire, fleet, self, metrics, log, now } = components;
   const { quarantine, recentAnswers, crashReports } = components;
   return createCallerServer({
     quotas,
@@ -90,6 +98,9 @@
     phase,
     wire,
     registry,
+    reach,
+    peers: createForwardingPeers(components),
+    self: self.id,
     crashes: createCrashDetector(components),
     retryBudgetOf: createRetryBudgets(() => settings().bounds),
     fleetSize: () => fleet.size(),
@@ -128,10 +139,10 @@
 
 /** Resolves directory queries from registry entries, recently seen peers and this instance's own readiness. */
 const createDirectoryLookup =
-  ({ clusterState, recentPeers, ready, self }: Components) =>
+  ({ clusterState, recentPeers, ready, self, ownEntry }: Components) =>
   (query: DirectoryQuery): SocketAddress[] => {
     const known = knownInstances(clusterState, recentPeers);
-    if (ready()) known.set(self.id, self);
+    if (ready()) known.set(self.id, ownEntry());
     else known.delete(self.id);
     return nearestInstances([...known.values()], query);
   };
@@ -160,7 +171,12 @@
   const { listen: addresses, instance, metricsPort, bounds } = components.settings();
   const registry = createTargetRegistry(components);
   const quotas = createQuotas(components, follower);
-  const { server: callers, connections } = createCallerListener(components, registry, quotas);
+  const reach = createReachMonitor(components, registry);
+  const {
+    server: callers,
+    connections,
+    serveForwarded,
+  } = createCallerListener(components, registry, reach, quotas);
   const directoryTtl = Math.min(DIRECTORY_TTL_SECONDS, bounds.directoryTtlSeconds);
   const recordPeer = recentPeers.record.bind(recentPeers);
   const servers: [Server, string][] = [
@@ -173,6 +189,7 @@
     [
       createPeerServer(
         peerRouter({ clusterState, follower, crashReports, recordPeer, lend: quotas.lend, now }),
+        serveForwarded,
       ),
       addresses.peers,
     ],
@@ -186,6 +203,7 @@
   return {
     connections,
     close: () => {
+      reach.stop();
       quotas.stop();
       servers.forEach(([server]) => {
         server.close();
--- a/packages/gateway/src/peers/server.ts
+++ b/packages/gateway/src/peers/server.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import { readJson, sendJson } from '@cardamomladder/http-json';
+import { FORWARDED_HEADER } from '../reach/forwardedRequest';
 import type { PeerRouter } from './router';
 
 const OK = 200;
@@ -37,9 +38,16 @@
   sendJson(res, STATUS_BY_CODE[code] ?? INTERNAL_ERROR, { error: { message: error.message } });
 };
 
-/** Creates the server for peer requests; a malformed request is rejected with an error message that says why. */
-export const createPeerServer = (router: PeerRouter): Server =>
+/** Creates the server for peer requests; a malformed request is rejected with an error message that says why. Callers' requests that peers forward go to `serveForwarded`. */
+export const createPeerServer = (
+  router: PeerRouter,
+  serveForwarded: (req: IncomingMessage, res: ServerResponse) => void,
+): Server =>
   createServer((req, res) => {
+    if (req.headers[FORWARDED_HEADER] !== undefined) {
+      serveForwarded(req, res);
+      return;
+    }
     handleRequest(router, req).then(
       (data) => sendJson(res, OK, { result: { data } }),
       (error: Error) => sendError(res, error),
--- /dev/null
+++ b/packages/gateway/src/reach/instanceReach.ts
@@ -0,0 +1,50 @@
+/** Creates the reach monitor and the forwarding peers of one instance. */
+import { first, skip } from 'rxjs';
+import type { Components } from '../components';
+import { knownInstances } from '../peers/recentPeers';
+import type { TargetRegistry } from '../targets/registry';
+import { ForwardingPeers } from './forwardingPeers';
+import { probeTargets } from './probe';
+import { ReachMonitor } from './reachMonitor';
+
+/** Creates the monitor; it first probes targets when the first configuration arrives. */
+export const createReachMonitor = (
+  { clusterState, cutOff, metrics, log, now }: Components,
+  registry: TargetRegistry,
+): ReachMonitor => {
+  const reach = new ReachMonitor({
+    probe: () => probeTargets(registry.probedTargets(Math.random), now),
+    cutOff,
+    now,
+    log: (event, detail) => log.write('reach', undefined, { event, ...detail }),
+  });
+  metrics.targetsReachable.set(1);
+  cutOff.pipe(skip(1)).subscribe((isCutOff) => {
+    metrics.targetsReachable.set(isCutOff ? 0 : 1);
+    if (!isCutOff) registry.disregardFailures();
+  });
+  clusterState.changes
+    .pipe(first(({ kind }) => kind === 'configuration'))
+    // The targets of the same list are applied after the configuration.
+    .subscribe(() => setImmediate(() => reach.verifyAtStart()));
+  return reach;
+};
+
+/** Creates the selection of peers; a peer's connections are dropped with its registry entry. */
+export const createForwardingPeers = ({
+  clusterState,
+  recentPeers,
+  self,
+  now,
+}: Components): ForwardingPeers => {
+  const peers = new ForwardingPeers({
+    self,
+    known: () => knownInstances(clusterState, recentPeers).values(),
+    now,
+    random: Math.random,
+  });
+  clusterState.changes.subscribe((change) => {
+    if (change.kind === 'instance-gone') peers.remove(change.id);
+  });
+  return peers;
+};
--- /dev/null
+++ b/packages/gateway/src/reach/probedTargets.ts
@@ -0,0 +1,35 @@
+/** Selects the targets that are probed to find out whether this instance reaches any. */
+import type { ServicePool, TargetState } from '@cardamomladder/steering';
+import { usable } from '@cardamomladder/steering';
+
+/** Number of targets probed at once. */
+const PROBED_TARGETS = 3;
+
+/** Probes count towards what cold and limited targets tolerate, so others are preferred. */
+const isRestricted = ({ coldUntil, selfReport }: TargetState, now: number): boolean =>
+  coldUntil > now || selfReport.pausedUntil > now || selfReport.limit.perSecond !== undefined;
+
+/** Returns random targets, in different failure domains as far as possible. */
+export const selectProbedTargets = (
+  pools: readonly ServicePool[],
+  now: number,
+  random: () => number,
+): TargetState[] => {
+  const usableTargets = pools.flatMap((pool) =>
+    pool.targets.filter((target) => usable(target, pool)),
+  );
+  const unrestricted = usableTargets.filter((target) => !isRestricted(target, now));
+  const candidates = unrestricted.length > 0 ? unrestricted : usableTargets;
+  const shuffled = candidates
+    .map((target) => ({ target, order: random() }))
+    .sort((a, b) => a.order - b.order)
+    .map(({ target }) => target);
+  const domains = new Set<string>();
+  const fromNewDomain: TargetState[] = [];
+  const others: TargetState[] = [];
+  shuffled.forEach((target) => {
+    (domains.has(target.failureDomain) ? others : fromNewDomain).push(target);
+    domains.add(target.failureDomain);
+  });
+  return [...fromNewDomain, ...others].slice(0, PROBED_TARGETS);
+};
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -37,6 +37,8 @@
   arrivedAt: number;
   /** Deadline for the response. */
   deadlineAt: number;
+  /** True if a peer forwarded it, because that one is cut off from all targets. */
+  isForwarded?: boolean;
   /** Lower bound of the time that the caller has already waited in earlier attempts, ms. */
   waitedBeforeMs: number;
 }
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -7,12 +7,15 @@
 import type {
   IssuedRequest,
   CallerDigest,
+  InstanceId,
   RequestDigest,
   ServiceName,
   StorePosition,
   TargetId,
 } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
+import type { ForwardingPeers } from '../reach/forwardingPeers';
+import type { ReachMonitor } from '../reach/reachMonitor';
 import type { Attempt } from '../targets/attempt';
 import type { CrashDetector } from '../targets/crashDetector';
 import type { TargetRegistry } from '../targets/registry';
@@ -25,6 +28,10 @@
 export interface ServeContext {
   wire: WireProtocol;
   registry: TargetRegistry;
+  /** Whether this instance reaches targets itself. */
+  reach: ReachMonitor;
+  /** The peers that serve its requests while it doesn't. */
+  peers: ForwardingPeers;
   crashes: CrashDetector;
   quarantine: Quarantine;
   recentAnswers: RecentAnswers;
@@ -51,6 +58,9 @@
 export class RequestExecution {
   readonly tried = new Set<TargetId>();
 
+  /** Peers that this request was forwarded to. */
+  readonly triedPeers = new Set<InstanceId>();
+
   sends = 0;
 
   /** True if the request's priority is higher than that of most recent requests of its service. */
@@ -103,6 +113,17 @@
     this.tried.add(target);
   }
 
+  countForward(peer: InstanceId): void {
+    this.sends += 1;
+    this.triedPeers.add(peer);
+  }
+
+  /** Sends that may still reach a target, this one included; of a request that may be repeated, one is kept for another peer. */
+  attemptsToForward(isRepeatable: boolean): number {
+    const left = this.request.route.maxAttempts - (this.sends - this.unreachable);
+    return Math.max(1, isRepeatable ? left - 1 : left);
+  }
+
   countUnreachableSend(): void {
     this.unreachable += 1;
   }
@@ -110,7 +131,8 @@
   /** True while the route's limit allows another send; sends without a connection only count towards a higher limit. */
   get maySendMore(): boolean {
     const { maxAttempts } = this.request.route;
-    return this.sends - this.unreachable < maxAttempts && this.sends < maxAttempts + EXTRA_SENDS;
+    const toTargets = this.sends - this.triedPeers.size;
+    return this.sends - this.unreachable < maxAttempts && toTargets < maxAttempts + EXTRA_SENDS;
   }
 
   setCurrentAttempt(attempt: Attempt): void {
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -4,6 +4,8 @@
 import { isIdempotent } from '@cardamomladder/routing';
 import { overdueAfterMs } from '@cardamomladder/steering';
 import { tracer } from '@cardamomladder/telemetry';
+import type { SendEnd } from '../reach/reachMonitor';
+import { FORWARDED_HEADER } from '../reach/forwardedRequest';
 import type { AttemptOutcome } from '../targets/attempt';
 import { sendAttempt } from '../targets/attempt';
 import type { ReachableTarget } from '../targets/registry';
@@ -20,6 +22,7 @@
   const names = ctx.wire.headers;
   const headers = forwardedHeaders(req);
   delete headers.expect;
+  if (request.isForwarded) delete headers[FORWARDED_HEADER];
   if (ctx.apiKeysRequired()) {
     delete headers[CREDENTIALS_HEADER];
     delete headers[names.customer];
@@ -56,9 +59,19 @@
   outcome: Promise<AttemptOutcome>;
   /** True if the target had been sent the object before, so that it is likely cached. */
   likelyCached: boolean;
+  sentAt: number;
+  /** True once the request may run at the target. */
+  isConnected: () => boolean;
   cancel: () => void;
 }
 
+/** What an outcome shows about the links of this instance. */
+const sendEndOf = (outcome: AttemptOutcome): SendEnd => {
+  if (outcome.kind === 'answer') return 'answered';
+  if (outcome.reason === 'unreachable' || outcome.reason === 'closed') return 'failed';
+  return outcome.reason === 'timeout' || outcome.reason === 'cancelled' ? 'unknown' : 'answered';
+};
+
 /** Expected maximum duration of a send, ms; Infinity if unknown. */
 const expectedMs = ({ request, ctx }: RequestExecution, likelyCached: boolean): number => {
   const { peakResponseTimes } = ctx.registry.forService(request.service);
@@ -83,6 +96,7 @@
   const likelyCached = placed.cachedObjects.has(request.key);
   const sent = { likelyCached, busy: placed.load.requestsAt(sentAt) };
   placed.load.ownRequests += 1;
+  const watched = ctx.reach.startSend(placed.id);
   const endSend = placed.unanswered.start(sentAt, expectedMs(execution, likelyCached && !isCold));
   placed.cachedObjects.add(request.key);
   const parent = trace.setSpan(context.active(), execution.span);
@@ -99,10 +113,12 @@
     connections,
     wire: ctx.wire,
     onStatement: (statement, source) => applyStatement({ statement, source, sentAt }, placed, ctx),
+    onNewConnection: watched.openedConnection,
   });
   execution.setCurrentAttempt(attempt);
   const outcome = attempt.outcome.then((result) => {
     placed.load.ownRequests -= 1;
+    watched.end(sendEndOf(result));
     const silent = placed.unanswered.isUnresponsive(ctx.now());
     endSend(result.kind === 'lost' ? 'lost' : 'answered', ctx.now());
     const tookMs = ctx.now() - sentAt;
@@ -118,5 +134,11 @@
     if (name !== '200') logSend(execution, target, name, tookMs);
     return result;
   });
-  return { outcome, likelyCached, cancel: () => attempt.cancel('timeout') };
+  return {
+    outcome,
+    likelyCached,
+    sentAt,
+    isConnected: attempt.isConnected,
+    cancel: () => attempt.cancel('timeout'),
+  };
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -5,12 +5,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
 import { isIdempotent } from '@cardamomladder/routing';
-import type { Locality } from '@cardamomladder/steering';
-import { describeTargets, place } from '@cardamomladder/steering';
+import { Subscription, filter } from 'rxjs';
+import { describeTargets } from '@cardamomladder/steering';
+import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { AttemptOutcome } from '../targets/attempt';
-import type { ReachableTarget } from '../targets/registry';
 import { sendGatewayResponse, relay } from './responses';
 import type { CallerRequest } from './callerRequest';
+import type { Destination } from './destination';
+import { chooseDestination, localityOf } from './destination';
+import { startForward } from './forward';
 import { QUARANTINE_RETRY_AFTER_MS, recordCrashEvidence } from './crashEvidence';
 import { MIN_SEND_TIME_MS, retryTimeoutMs, shouldRetry } from './retryPolicy';
 import type { Send } from './send';
@@ -20,90 +23,108 @@
 
 type TargetResponse = Extract<AttemptOutcome, { kind: 'answer' }>;
 
-const localityOf = ({ route }: CallerRequest): Locality =>
-  route.kind === 'download' ? 'near' : 'balanced';
-
-/** Chooses the next target, or returns the reason for rejecting the request. */
-const chooseTarget = (execution: RequestExecution) => {
-  const { request, ctx, tried } = execution;
-  const { pool, rankings } = ctx.registry.forService(request.service);
-  const { route } = request;
-  return place(
-    {
-      key: request.key,
-      locality: localityOf(request),
-      homeRegions: request.homeRegions,
-      objectiveMs: route.latencyObjectiveMs,
-      objectiveMissed: request.waitedBeforeMs > (route.latencyObjectiveMs ?? Infinity),
-      urgent: execution.urgent,
-      tried,
-      now: ctx.now(),
-    },
-    pool,
-    rankings,
-  );
-};
-
 /**
  * Counts the request against the target's rate limit as soon as the target is
  * chosen, as other requests may be placed before this one is sent.
  */
-const consumeRateLimit = (
-  target: ReachableTarget | undefined,
-  { ctx }: RequestExecution,
-): ReachableTarget | undefined => {
-  target?.placed.selfReport.limit.recordSend(ctx.now());
-  return target;
+const consumeRateLimit = (destination: Destination, { ctx }: RequestExecution): Destination => {
+  if (destination.kind === 'target')
+    destination.target.placed.selfReport.limit.recordSend(ctx.now());
+  return destination;
 };
 
-/** Chooses the target of a retry, if the request, its deadline and the retry budget allow one. */
-const chooseRetryTarget = (
+/** True if the send put no load on any target. */
+const reachedNoTarget = (outcome: AttemptOutcome): boolean =>
+  outcome.kind === 'not-run' && (outcome.reason === 'unreachable' || outcome.reason === 'cut-off');
+
+/** Chooses the destination of a retry, if the request, its deadline and the retry budget allow one. */
+const chooseRetry = (
   execution: RequestExecution,
   outcome: AttemptOutcome,
-): ReachableTarget | undefined => {
+): Destination | undefined => {
   const { request, ctx, sends } = execution;
   if (execution.ended || !execution.maySendMore || execution.quarantined) return undefined;
   if (!shouldRetry(request.route.kind, outcome)) return undefined;
   if (request.deadlineAt - ctx.now() < MIN_SEND_TIME_MS) return undefined;
-  const choice = chooseTarget(execution);
+  const choice = chooseDestination(execution);
   if (choice.kind === 'rejected') return undefined;
-  const target = ctx.registry.get(choice.target.id);
-  // A send without a connection put no load on any target, so its retry is free.
-  const exemptFromBudget = outcome.kind === 'not-run' && outcome.reason === 'unreachable';
+  // A send that reached no target put no load on any, so its retry is free.
   const granted =
-    target &&
-    (exemptFromBudget ||
-      ctx.retryBudgetOf(request.service).tryWithdraw(ctx.now(), ctx.fleetSize()));
+    reachedNoTarget(outcome) ||
+    ctx.retryBudgetOf(request.service).tryWithdraw(ctx.now(), ctx.fleetSize());
   ctx.metrics.retryBudgetRequests.inc({ granted: granted ? 'yes' : 'no' });
   if (!granted) ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
-  return granted ? consumeRateLimit(target, execution) : undefined;
+  return granted ? consumeRateLimit(choice, execution) : undefined;
 };
 
 const TIMED_OUT: AttemptOutcome = { kind: 'lost', reason: 'timeout' };
 
-/** Waits for a response until the retry timeout; then returns the target of a retry, if one is allowed. */
-const chooseTargetAfterTimeout = async (
-  execution: RequestExecution,
+/** How long to wait for a response before a retry is considered, ms; undefined to wait until the deadline. */
+const retryTimeoutOf = (
+  { request, ctx, maySendMore }: RequestExecution,
   send: Send,
-  { placed }: ReachableTarget,
-): Promise<ReachableTarget | undefined> => {
-  const { request, ctx } = execution;
-  if (!isIdempotent(request.route.kind) || !execution.maySendMore) return undefined;
+  destination: Destination,
+): number | undefined => {
+  if (!isIdempotent(request.route.kind) || !maySendMore) return undefined;
   const { peakResponseTimes } = ctx.registry.forService(request.service);
   const now = ctx.now();
-  const cold = placed.coldUntil > now;
-  const waitMs = retryTimeoutMs(request.deadlineAt - now, {
-    send: peakResponseTimes[send.likelyCached && !cold ? 'cached' : 'uncached'].estimateAt(now),
+  const isCold = destination.kind === 'target' && destination.target.placed.coldUntil > now;
+  const kind = send.likelyCached && !isCold ? 'cached' : 'uncached';
+  return retryTimeoutMs(request.deadlineAt - now, {
+    send: peakResponseTimes[kind].estimateAt(now),
     retry: peakResponseTimes.uncached.estimateAt(now),
   });
-  if (waitMs === undefined) return undefined;
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<'silent'>((resolve) => {
-    timer = setTimeout(() => resolve('silent'), waitMs);
-  });
-  const first = await Promise.race([send.outcome, timeout]);
-  clearTimeout(timer);
-  return first === 'silent' ? chooseRetryTarget(execution, TIMED_OUT) : undefined;
+};
+
+/** Waits for a send's outcome, its retry timeout, or the moment at which this instance is found to be cut off. */
+const waitForSend = async (
+  { ctx }: RequestExecution,
+  send: Send,
+  destination: Destination,
+  waitMs: number | undefined,
+): Promise<'ended' | 'silent' | 'cut-off'> => {
+  const { reach } = ctx;
+  const waits: Promise<'ended' | 'silent' | 'cut-off'>[] = [send.outcome.then(() => 'ended')];
+  const subscriptions = new Subscription();
+  if (waitMs !== undefined)
+    waits.push(
+      new Promise((resolve) => {
+        const timeout = setTimeout(() => resolve('silent'), waitMs);
+        subscriptions.add(() => clearTimeout(timeout));
+      }),
+    );
+  if (destination.kind === 'target' && !reach.isCutOff)
+    waits.push(
+      new Promise((resolve) => {
+        subscriptions.add(reach.cutOff.pipe(filter(Boolean)).subscribe(() => resolve('cut-off')));
+      }),
+    );
+  const first = await Promise.race(waits);
+  subscriptions.unsubscribe();
+  return first;
+};
+
+/** Waits until the send has ended or a retry is due; then returns the retry's destination, if one is allowed. */
+const chooseRetryWhileWaiting = async (
+  execution: RequestExecution,
+  send: Send,
+  destination: Destination,
+): Promise<Destination | undefined> => {
+  const { request, ctx } = execution;
+  const waitMs = retryTimeoutOf(execution, send, destination);
+  const first = await waitForSend(execution, send, destination, waitMs);
+  if (first === 'ended') return undefined;
+  if (first === 'silent') return chooseRetry(execution, TIMED_OUT);
+  if (!send.isConnected()) {
+    // Ends the send as not run; the retry then follows from its outcome.
+    send.cancel();
+    return undefined;
+  }
+  // An open connection may have lived on.
+  const isSilent = !ctx.reach.hasAnswerSince(send.sentAt);
+  return isSilent && isIdempotent(request.route.kind)
+    ? chooseRetry(execution, TIMED_OUT)
+    : undefined;
 };
 
 /** Retry-After when all targets refused the request or were unreachable, ms. */
@@ -126,6 +147,10 @@
 ): ServeOutcome => {
   const { request, res, ctx, sends } = execution;
   ctx.metrics.rejections.inc({ reason });
+  if (request.isForwarded) {
+    res.setHeader(ctx.wire.headers.notRun, '1');
+    if (ctx.reach.isCutOff) res.setHeader(CUT_OFF_HEADER, '1');
+  }
   ctx.log.write('rejected', request.id, () => ({
     reason,
     sends,
@@ -153,17 +178,30 @@
   return 'timed-out';
 };
 
+/** Rejects a request that did not run; the caller is told what a peer says, or when this instance knows more. */
+const rejectNotRun = (
+  execution: RequestExecution,
+  { reason, restMs }: Extract<AttemptOutcome, { kind: 'not-run' }>,
+  { kind }: Destination,
+): ServeOutcome => {
+  const { reach } = execution.ctx;
+  if (reach.isIsolated) return reject(execution, 'cut-off', reach.retryAfterMs);
+  const retryAfterMs = kind === 'peer' && restMs !== undefined ? restMs : REJECTED_RETRY_AFTER_MS;
+  return reject(execution, reason, retryAfterMs);
+};
+
 /** Returns the final response after the last send. */
 const finish = async (
   execution: RequestExecution,
   outcome: AttemptOutcome,
   mayHaveRun: boolean,
+  destination: Destination,
 ): Promise<ServeOutcome> => {
   const { request, res, ctx } = execution;
   if (outcome.kind === 'answer')
     return (await relay(res, outcome)) === 'complete' ? 'answered' : 'failed';
   if (outcome.kind === 'not-run' && !mayHaveRun)
-    return reject(execution, outcome.reason, REJECTED_RETRY_AFTER_MS);
+    return rejectNotRun(execution, outcome, destination);
   const { reason } = outcome;
   if (reason === 'timeout') return timeOut(execution);
   ctx.log.write('failed', request.id, { reason, sends: execution.sends, mayHaveRun });
@@ -171,30 +209,41 @@
   return 'failed';
 };
 
+const startSendTo = (execution: RequestExecution, destination: Destination): Send =>
+  destination.kind === 'target'
+    ? startSend(execution, destination.target)
+    : startForward(execution, destination.peer);
+
+/** True if another destination would say the same: a peer that reaches the targets found none for the request. */
+const isFinal = (outcome: AttemptOutcome, { kind }: Destination): boolean =>
+  kind === 'peer' && outcome.kind === 'not-run' && outcome.reason === 'rejected';
+
 /** Sends and retries until there is a response, no further send is allowed, or the request was aborted. */
 const sendUntilAnswered = async (execution: RequestExecution): Promise<ServeOutcome> => {
   if (execution.quarantined) return reject(execution, 'quarantined', QUARANTINE_RETRY_AFTER_MS);
-  const choice = chooseTarget(execution);
+  const choice = chooseDestination(execution);
   if (choice.kind === 'rejected') return reject(execution, choice.reason, choice.retryAfterMs);
-  let target = consumeRateLimit(execution.ctx.registry.get(choice.target.id), execution);
+  let destination = consumeRateLimit(choice, execution);
   let mayHaveRun = false;
   let lastResponse: TargetResponse | undefined;
-  while (target) {
-    const send = startSend(execution, target);
-    const targetAfterTimeout = await chooseTargetAfterTimeout(execution, send, target);
-    if (targetAfterTimeout) send.cancel();
+  for (;;) {
+    const send = startSendTo(execution, destination);
+    const retryWhileWaiting = await chooseRetryWhileWaiting(execution, send, destination);
+    if (retryWhileWaiting) send.cancel();
     const outcome = await send.outcome;
-    await recordCrashEvidence(execution, target, outcome);
+    if (destination.kind === 'target')
+      await recordCrashEvidence(execution, destination.target, outcome);
     if (execution.ended) return execution.ended;
     mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
     if (outcome.kind === 'answer') lastResponse = outcome;
-    if (outcome.kind === 'not-run' && outcome.reason === 'unreachable')
-      execution.countUnreachableSend();
-    target = targetAfterTimeout ?? chooseRetryTarget(execution, outcome);
+    if (reachedNoTarget(outcome)) execution.countUnreachableSend();
+    const retry =
+      retryWhileWaiting ??
+      (isFinal(outcome, destination) ? undefined : chooseRetry(execution, outcome));
     // An error response from one target is preferred to no response from the next.
-    if (!target) return finish(execution, lastResponse ?? outcome, mayHaveRun);
+    if (!retry) return finish(execution, lastResponse ?? outcome, mayHaveRun, destination);
+    destination = retry;
   }
-  return reject(execution, 'no-target', REJECTED_RETRY_AFTER_MS);
 };
 
 /** Handles one request to completion; never rejects. */
@@ -206,7 +255,8 @@
   span: Span,
 ): Promise<ServeOutcome> => {
   const execution = new RequestExecution(request, req, res, ctx, span);
-  ctx.retryBudgetOf(request.service).deposit(ctx.now());
+  // The instance that forwarded a request has counted it already.
+  if (!request.isForwarded) ctx.retryBudgetOf(request.service).deposit(ctx.now());
   const timeLeftMs = Math.max(0, request.deadlineAt - ctx.now());
   const timer = setTimeout(() => {
     if (!res.headersSent) timeOut(execution);
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -5,6 +5,8 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { BehaviorSubject } from 'rxjs';
+import type { Phase } from '../lifecycle/phase';
 
 interface CallerSocket extends Socket {
   unanswered?: number;
@@ -29,6 +31,28 @@
     return true;
   }
 
+  /** Tracks a request as `trackRequest` does; while the instance is stopping, its connection is closed after the last response. */
+  trackUntilAnswered(
+    req: IncomingMessage,
+    res: ServerResponse,
+    phase: BehaviorSubject<Phase>,
+  ): boolean {
+    if (!this.trackRequest(req, res)) return false;
+    const writeHead = res.writeHead.bind(res);
+    // Whether to close the connection is decided when the response head is
+    // written, since further requests may have arrived on it by then.
+    Object.assign(res, {
+      writeHead: (...args: Parameters<typeof res.writeHead>) => {
+        if (phase.value === 'leaving' || phase.value === 'refusing') this.closeAfter(req, res);
+        return writeHead(...args);
+      },
+    });
+    req.on('error', () => {
+      // The caller aborted the upload; the 'close' event of the response ends the work.
+    });
+    return true;
+  }
+
   /** Closes the connection after this response if no other request is pending on it. */
   closeAfter(req: IncomingMessage, res: ServerResponse): void {
     const socket = req.socket as CallerSocket;
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -4,12 +4,12 @@
 import type { BehaviorSubject } from 'rxjs';
 import { SpanKind } from '@opentelemetry/api';
 import type { ClusterState } from '@cardamomladder/fleet';
-import type { Customer, CustomerTable, Identity } from '@cardamomladder/customers';
-import { customerTable, identify, intersectHomeRegions } from '@cardamomladder/customers';
+import type { Customer, Identity } from '@cardamomladder/customers';
+import { identify, intersectHomeRegions } from '@cardamomladder/customers';
 import { readBody } from '@cardamomladder/http-json';
-import type { CallerLimits, Route, RouteTable } from '@cardamomladder/routing';
-import { createRouteTable, createTrafficSplit } from '@cardamomladder/routing';
+import type { CallerLimits, Route } from '@cardamomladder/routing';
 import { tracer } from '@cardamomladder/telemetry';
+import type { InstanceId } from '@cardamomladder/types';
 import type { Quotas } from '../quota/quotas';
 import type { Phase } from '../lifecycle/phase';
 import { sendGatewayResponse } from '../requests/responses';
@@ -28,6 +28,8 @@
 import { CREDENTIALS_HEADER } from '../wireProtocol';
 import { admit } from './admit';
 import { CallerConnections } from './callerConnections';
+import { ConfiguredRoutes } from './configuredRoutes';
+import { createForwardedServer } from './forwardedServer';
 import { countCustomerRequest, createRejections } from './rejections';
 
 const spans = tracer('gateway');
@@ -47,6 +49,7 @@
 export interface CallerServerOptions extends ServeContext {
   clusterState: ClusterState;
   phase: BehaviorSubject<Phase>;
+  self: InstanceId;
   quotas: Pick<Quotas, 'admit' | 'refund' | 'describe'>;
 }
 
@@ -54,6 +57,8 @@
 export interface CallerServer {
   server: Server;
   connections: CallerConnections;
+  /** Serves a request that a peer forwarded. */
+  serveForwarded: (req: IncomingMessage, res: ServerResponse) => void;
 }
 
 const applyLimits = (server: Server, limits: CallerLimits): void => {
@@ -70,17 +75,14 @@
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { clusterState, phase, wire, quotas, metrics, log, now } = options;
   const connections = new CallerConnections();
-  const split = createTrafficSplit();
+  const configured = new ConfiguredRoutes(clusterState);
   const priorWait = new PriorWaitEstimator();
-  let routes: RouteTable | undefined;
-  let customerLookup: CustomerTable | undefined;
-  let limits: CallerLimits | undefined;
 
   const reject = createRejections(options);
   const identifyCaller = (req: IncomingMessage, route: Route): Identity => {
-    if (!customerLookup) return { kind: 'anonymous' };
+    if (!configured.customers) return { kind: 'anonymous' };
     const credentials = wire.parseCredentials(headerValues(req, CREDENTIALS_HEADER));
-    return identify(customerLookup, credentials, route.isPublic);
+    return identify(configured.customers, credentials, route.isPublic);
   };
   const readBodyIfPresent = async (
     req: IncomingMessage,
@@ -108,6 +110,7 @@
     arrivedAt: number,
   ): Promise<void> => {
     const id = requestIdOf(req, wire.headers);
+    const { limits } = configured;
     if (!id) {
       reject.malformed(res, undefined, 'the request names no id; send one with each attempt');
       return;
@@ -149,7 +152,7 @@
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       route,
-      service: split.next(route),
+      service: configured.split.next(route),
       customer,
       homeRegions,
       priority: customer?.priority ?? route.priority,
@@ -169,6 +172,7 @@
 
   const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const arrivedAt = now();
+    const { routes } = configured;
     if (!routes) {
       reject.notRun(res, 'no configuration yet', NO_CONFIGURATION_RETRY_MS);
       return;
@@ -202,20 +206,7 @@
       noDelay: true,
     },
     (req, res) => {
-      if (!connections.trackRequest(req, res)) return;
-      const writeHead = res.writeHead.bind(res);
-      // Whether to close the connection is decided when the response head is
-      // written, since further requests may have arrived on it by then.
-      Object.assign(res, {
-        writeHead: (...args: Parameters<typeof res.writeHead>) => {
-          if (phase.value === 'leaving' || phase.value === 'refusing')
-            connections.closeAfter(req, res);
-          return writeHead(...args);
-        },
-      });
-      req.on('error', () => {
-        // The caller aborted the upload; the 'close' event of the response ends the work.
-      });
+      if (!connections.trackUntilAnswered(req, res, phase)) return;
       handle(req, res).catch((error: Error) => {
         log.write('failed', requestIdOf(req, wire.headers), { reason: error.message });
         if (!res.headersSent) sendGatewayResponse(res, { status: 502, message: 'internal error' });
@@ -223,12 +214,8 @@
     },
   );
   clusterState.changes.subscribe((change) => {
-    if (change.kind !== 'configuration') return;
-    routes = createRouteTable(change.configuration);
-    customerLookup =
-      change.configuration.customers && customerTable(change.configuration.customers);
-    limits = change.configuration.limits;
-    applyLimits(server, limits);
+    if (change.kind === 'configuration') applyLimits(server, change.configuration.limits);
   });
-  return { server, connections };
+  const serveForwarded = createForwardedServer({ ...options, configured, connections });
+  return { server, connections, serveForwarded };
 };
--- a/packages/gateway/src/server/directory.ts
+++ b/packages/gateway/src/server/directory.ts
@@ -3,7 +3,9 @@
  * failure domain, or of its region if the domain has none, or else all; of
  * these, only the high-capacity ones. Candidates are instances with a current
  * registry entry, peers that were seen directly, and this instance while it
- * serves.
+ * serves. Instances that reach no target are left out while another one reaches some;
+ * they serve callers that hold their address through a peer, at the cost of a second
+ * hop.
  *
  * Low-capacity instances are left out because of failure domains with two
  * high-capacity instances and a dozen low-capacity ones. Callers choose an address
@@ -25,9 +27,11 @@
   instances: readonly InstanceEntry[],
   query: DirectoryQuery,
 ): SocketAddress[] => {
-  const inDomain = instances.filter((i) => i.failureDomain === query.failureDomain);
-  const inRegion = instances.filter((i) => i.region === query.region);
-  const chosen = [inDomain, inRegion, [...instances]].find((group) => group.length > 0) ?? [];
+  const reachingTargets = instances.filter(({ cutOff }) => !cutOff);
+  const candidates = reachingTargets.length > 0 ? reachingTargets : [...instances];
+  const inDomain = candidates.filter((i) => i.failureDomain === query.failureDomain);
+  const inRegion = candidates.filter((i) => i.region === query.region);
+  const chosen = [inDomain, inRegion, candidates].find((group) => group.length > 0) ?? [];
   return highCapacityInstances(chosen)
     .slice(0, MAX_ADDRESSES)
     .map((i) => i.callerAddress);
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -7,6 +7,7 @@
 import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import type { HeaderNames, LoadReport, TargetStatement, WireProtocol } from '../wireProtocol';
+import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { TargetConnections } from './connections';
 
 /** Connect timeout, ms: above the round trip between any two regions, well below callers' timeouts. */
@@ -27,14 +28,18 @@
   body: Buffer | undefined;
   requestId: string;
   timeoutMs: number;
+  /** `CONNECT_TIMEOUT_MS` by default. */
+  connectTimeoutMs?: number;
   connections: TargetConnections;
   wire: WireProtocol;
   /** Called with the target's statement as soon as the headers of its response arrive, whether or not the response is accepted. */
   onStatement: (statement: TargetStatement, source: ResponseSource) => void;
+  /** Called if the request opens a new connection. */
+  onNewConnection?: () => void;
 }
 
 /** Reason why a request is known not to have run. */
-export type NotRunReason = 'rejected' | 'wrong-target' | 'unreachable';
+export type NotRunReason = 'rejected' | 'wrong-target' | 'unreachable' | 'cut-off';
 /** Reason why it is unknown whether a request ran. */
 export type LostReason = 'timeout' | 'closed' | 'garbled' | 'cancelled';
 
@@ -49,12 +54,14 @@
       remaining?: IncomingMessage;
       load?: LoadReport;
     }
-  | { kind: 'not-run'; reason: NotRunReason; load?: LoadReport }
+  | { kind: 'not-run'; reason: NotRunReason; load?: LoadReport; restMs?: number }
   | { kind: 'lost'; reason: LostReason };
 
 /** A send in progress. */
 export interface Attempt {
   outcome: Promise<AttemptOutcome>;
+  /** True once a connection is established, so that the request may run. */
+  isConnected: () => boolean;
   /** Aborts the send by closing the connection, whereupon the target cancels the work. */
   cancel: (reason: LostReason) => void;
 }
@@ -100,6 +107,7 @@
   const echoed = response.headers[names.requestId];
   if (echoed !== undefined && echoed !== requestId) return undefined;
   if (response.statusCode === WRONG_TARGET) return 'wrong-target';
+  if (response.headers[CUT_OFF_HEADER] !== undefined) return 'cut-off';
   return response.headers[names.notRun] === undefined ? undefined : 'rejected';
 };
 
@@ -131,14 +139,14 @@
 
   const handleResponse = (response: IncomingMessage): void => {
     const statement = wire.parseTargetStatement(response.statusCode ?? 0, response.headers);
-    const { load } = statement;
+    const { load, restMs } = statement;
     const notRun = notRunReasonOf(response, wire.headers, requestId);
     if (notRun) {
       // A statement from the wrong target doesn't apply to the intended one.
       if (notRun === 'rejected') options.onStatement(statement, 'refusal');
       response.resume();
       response.on('error', () => {});
-      finish({ kind: 'not-run', reason: notRun, load });
+      finish({ kind: 'not-run', reason: notRun, load, restMs });
       return;
     }
     if (!isGenuine(response, wire.headers, requestId)) {
@@ -182,9 +190,10 @@
       connected = true;
       return;
     }
+    options.onNewConnection?.();
     connectTimer = setTimeout(
       () => finish({ kind: 'not-run', reason: 'unreachable' }),
-      CONNECT_TIMEOUT_MS,
+      options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
     );
     socket.once('connect', () => {
       connected = true;
@@ -199,5 +208,9 @@
   request.on('close', () => finish({ kind: 'lost', reason: 'closed' }));
   request.end(options.body);
 
-  return { outcome, cancel: (reason) => finish({ kind: 'lost', reason }) };
+  return {
+    outcome,
+    isConnected: () => connected,
+    cancel: (reason) => finish({ kind: 'lost', reason }),
+  };
 };
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -18,6 +18,7 @@
   ReportStaleness,
   PriorityBaseline,
   coldShare,
+  disregardFailures,
   limitShare,
   newTarget,
 } from '@cardamomladder/steering';
@@ -31,6 +32,8 @@
 import { regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
 import type { AdvertisedInstances } from '../lifecycle/advertisedInstances';
+import type { ProbedTarget } from '../reach/probe';
+import { selectProbedTargets } from '../reach/probedTargets';
 import { TargetConnections } from './connections';
 import { RecentlyRemovedTargets } from './recentlyRemovedTargets';
 import { IdleLimit } from './idleLimit';
@@ -149,6 +152,27 @@
     return this.targets.get(id);
   }
 
+  /** Discards what failed sends seemed to show of the targets while this instance was cut off from all of them. */
+  disregardFailures(): void {
+    this.targets.forEach(({ placed, entry }) => {
+      disregardFailures(placed);
+      this.connectionsById.get(entry.id)?.closeIdleLongerThan(0);
+    });
+  }
+
+  /** The targets to probe for whether this instance reaches any. */
+  probedTargets(random: () => number): ProbedTarget[] {
+    const pools = [...this.pools.values()].map(({ pool }) => pool);
+    return selectProbedTargets(pools, this.options.now(), random)
+      .map(({ id }) => this.targets.get(id))
+      .filter((target) => target !== undefined)
+      .map(({ host, port, placed }) => ({
+        host,
+        port,
+        healthPath: this.services.get(placed.service)?.healthPath ?? '/',
+      }));
+  }
+
   /** Records a target's report that it is leaving; true if it is the first one. */
   markLeaving(target: TargetState): boolean {
     if (target.selfReport.leaving) return false;
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -41,6 +41,8 @@
 /** Settings of one service. */
 export interface Service {
   name: ServiceName;
+  /** Path of its targets' health check; undefined if they have none. */
+  healthPath?: string;
   /** Connections one target accepts from all callers together. */
   maxConnections: number;
   /** How long a target is considered cold after its start, in milliseconds. */
--- a/packages/steering/src/placement/target.ts
+++ b/packages/steering/src/placement/target.ts
@@ -106,6 +106,13 @@
   selfReport: { leaving: false, pausedUntil: 0, limit: new AdvertisedLimit() },
 });
 
+/** Discards evidence against a target that was gathered while this instance was cut off. */
+export const disregardFailures = (target: TargetState): void => {
+  target.failures = 0;
+  target.avoidUntil = 0;
+  target.unanswered.disregard();
+};
+
 /** Returns true if the target's estimated requests per slot are below `perSlot`. */
 export const hasCapacity = (target: TargetState, perSlot: number, now: number): boolean =>
   target.load.requestsAt(now) < target.slots * perSlot;
--- a/packages/steering/src/placement/unansweredSends.ts
+++ b/packages/steering/src/placement/unansweredSends.ts
@@ -34,6 +34,11 @@
     };
   }
 
+  /** Disregards the sends in flight: their silence has another cause than the target. */
+  disregard(): void {
+    this.sends.clear();
+  }
+
   /** Returns true while a send is overdue and nothing has been answered since it was made. */
   isUnresponsive(now: number): boolean {
     for (const { sentAt, overdueAt } of this.sends)
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -24,6 +24,10 @@
   retryBudgetRequests: Counter<'granted'>;
   /** Targets that crashed while processing requests of this instance. */
   targetCrashes: Counter;
+  targetsReachable: Gauge;
+  forwards: Counter<'result'>;
+  /** Requests served for peers that are cut off from all targets. */
+  forwardedForPeers: Counter<'outcome'>;
   storeReachable: Gauge;
   storeEpoch: Gauge;
   configurationVersion: Gauge;
@@ -68,6 +72,17 @@
       'Targets that crashed under requests of this instance.',
       [],
     ),
+    targetsReachable: gauge('targets_reached', '1 while this instance reaches targets itself.'),
+    forwards: counter(
+      'forwards_total',
+      'Requests forwarded to a peer while no target is reached, by result.',
+      ['result'],
+    ),
+    forwardedForPeers: counter(
+      'forwarded_for_peers_total',
+      'Requests served for peers that reach no target, by outcome.',
+      ['outcome'],
+    ),
     storeReachable: gauge('store_reached', '1 while the store answers this instance.'),
     storeEpoch: gauge('store_epoch', 'How often the store came back from an older copy.'),
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force.'),
