An instance that has lost its links reports no crashes of targets

A crash now counts only while a probe of other targets is answered. The new test of crashDetector.test.ts failed before (crash true).

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -67,7 +67,7 @@
 };
 
 /** Reports target crashes, except those explained by a request that is already quarantined. */
-const createCrashDetector = (components: Components): CrashDetector => {
+const createCrashDetector = (components: Components, reach: ReachMonitor): CrashDetector => {
   const { quarantine, recentAnswers, crashReports, log, metrics } = components;
   const report = (crash: TargetCrash) => {
     metrics.targetCrashes.inc();
@@ -78,7 +78,7 @@
       .filter(({ request }) => recentAnswers.has(request))
       .forEach(({ request }) => crashReports.answered({ request }));
   };
-  return new CrashDetector(refusesConnections, report);
+  return new CrashDetector(refusesConnections, report, () => reach.verify());
 };
 
 const createCallerListener = (
@@ -101,7 +101,7 @@
     reach,
     peers: createForwardingPeers(components),
     self: self.id,
-    crashes: createCrashDetector(components),
+    crashes: createCrashDetector(components, reach),
     retryBudgetOf: createRetryBudgets(() => settings().bounds),
     fleetSize: () => fleet.size(),
     apiKeysRequired: () => clusterState.configuration?.customers !== undefined,
--- a/packages/gateway/src/targets/__tests__/crashDetector.test.ts
+++ b/packages/gateway/src/targets/__tests__/crashDetector.test.ts
@@ -23,6 +23,7 @@
 let connections: TargetConnections;
 let crashes: TargetCrash[];
 let refusalChecks: number;
+let reachesTargets: boolean;
 let detector: CrashDetector;
 
 const createTarget = (): ReachableTarget =>
@@ -45,6 +46,7 @@
   sockets = [];
   crashes = [];
   refusalChecks = 0;
+  reachesTargets = true;
   connections = new TargetConnections(8, () => performance.now(), new IdleLimit());
   detector = new CrashDetector(
     (host, at) => {
@@ -52,6 +54,7 @@
       return refusesConnections(host, at);
     },
     (crash) => crashes.push(crash),
+    () => Promise.resolve(reachesTargets),
   );
   server = createServer((socket) => {
     socket.on('error', () => {});
@@ -118,6 +121,19 @@
     expect({ crashes, refusalChecks }).toEqual({ crashes: [], refusalChecks: 0 });
   });
 
+  it('indicates no crash if no other target is reached either', async () => {
+    // Guards against reporting crashes of all targets when this instance has lost its links.
+    reachesTargets = false;
+    const target = createTarget();
+    const send = startSend();
+    await connected(1);
+    server.close();
+    sockets[0].resetAndDestroy();
+    await send.outcome;
+    expect(await detector.checkClosedConnection(target, FIRST)).toBe(false);
+    expect(crashes).toEqual([]);
+  });
+
   it('indicates no crash if the target accepts a new connection', async () => {
     const target = createTarget();
     const send = startSend();
--- a/packages/gateway/src/targets/crashDetector.ts
+++ b/packages/gateway/src/targets/crashDetector.ts
@@ -3,7 +3,9 @@
  * sees the same error in both cases, but after a crash all connections to the
  * target are closed and its address refuses new ones. With a network failure, a
  * lost response or an overloaded target, other connections stay open or new
- * ones are accepted; a machine without power does not respond at all.
+ * ones are accepted; a machine without power does not respond at all. An instance
+ * that has lost its links to all targets sees the same as after crashes of all of
+ * them, so a crash counts only while it reaches other targets.
  */
 import type { IssuedRequest, TargetCrash } from '@cardamomladder/types';
 import { targetRun } from '@cardamomladder/types';
@@ -44,6 +46,8 @@
   constructor(
     private readonly refusesConnections: ConnectionRefusalCheck,
     private readonly report: (crash: TargetCrash) => void,
+    /** Whether this instance reaches other targets; if not, its own links are the cause. */
+    private readonly reachesTargets: () => Promise<boolean>,
   ) {}
 
   /** Handles a connection that closed before the request's response; true if the target has crashed. */
@@ -66,7 +70,8 @@
   private async runCheck(target: ReachableTarget): Promise<boolean> {
     const crashed =
       (await allConnectionsClosed(target)) &&
-      (await this.refusesConnections(target.host, target.port));
+      (await this.refusesConnections(target.host, target.port)) &&
+      (await this.reachesTargets());
     const check = this.checks.get(target);
     if (!crashed) this.checks.delete(target);
     if (crashed && check) {
