Probes include a target of the own region; peers accept heads of any size callers may send

An instance that has lost only its links to other regions could have been taken for cut off: three probes in different failure domains missed its own region in one of five draws (computed from six domains in three regions). A forwarded request carries one more header, so a head at the configured limit of 16 kB would have been refused by the peer server's default limit.

--- a/packages/gateway/src/peers/server.ts
+++ b/packages/gateway/src/peers/server.ts
@@ -10,6 +10,9 @@
 import { FORWARDED_HEADER } from '../reach/forwardedRequest';
 import type { PeerRouter } from './router';
 
+/** Maximum size of a request head: the largest one that callers may send, and what a forwarding peer adds. */
+const MAX_HEAD_BYTES = 128 * 1024;
+
 const OK = 200;
 const STATUS_BY_CODE: Partial<Record<TRPCError['code'], number>> = {
   BAD_REQUEST: 400,
@@ -43,7 +46,7 @@
   router: PeerRouter,
   serveForwarded: (req: IncomingMessage, res: ServerResponse) => void,
 ): Server =>
-  createServer((req, res) => {
+  createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (req, res) => {
     if (req.headers[FORWARDED_HEADER] !== undefined) {
       serveForwarded(req, res);
       return;
--- a/packages/gateway/src/reach/probedTargets.ts
+++ b/packages/gateway/src/reach/probedTargets.ts
@@ -9,7 +9,10 @@
 const isRestricted = ({ coldUntil, selfReport }: TargetState, now: number): boolean =>
   coldUntil > now || selfReport.pausedUntil > now || selfReport.limit.perSecond !== undefined;
 
-/** Returns random targets, in different failure domains as far as possible. */
+/**
+ * Returns random targets, in different failure domains as far as possible, one of them
+ * in the own region: links to other regions may be lost alone.
+ */
 export const selectProbedTargets = (
   pools: readonly ServicePool[],
   now: number,
@@ -24,6 +27,8 @@
     .map((target) => ({ target, order: random() }))
     .sort((a, b) => a.order - b.order)
     .map(({ target }) => target);
+  const nearby = shuffled.findIndex(({ region }) => region === pools[0]?.ownRegion);
+  if (nearby > 0) shuffled.unshift(...shuffled.splice(nearby, 1));
   const domains = new Set<string>();
   const fromNewDomain: TargetState[] = [];
   const others: TargetState[] = [];
