Soak: partitions of instances from all targets, in series and beside the other faults

One instance, all but one or all are partitioned; connections hang, are reset, or new ones hang. While another instance reaches the targets and nothing else is disturbed, lookups at a partitioned instance must be served from 1.5 s on.

--- a/packages/soak/src/faultHistory.ts
+++ b/packages/soak/src/faultHistory.ts
@@ -22,6 +22,13 @@
     };
   }
 
+  /** True if no fault affected any component from `SETTLE_MS` before `from` until `to`. */
+  calm(from: number, to: number): boolean {
+    return !this.intervals.some(
+      (interval) => interval.from <= to && interval.to + SETTLE_MS >= from,
+    );
+  }
+
   /** True if no fault affected the components from `SETTLE_MS` before `from` until `to`. */
   unaffected(components: readonly string[], from: number, to: number): boolean {
     return !this.intervals.some(
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,7 +1,7 @@
 export type { FaultProxy, ProxyFault } from './faultProxy';
 export { startFaultProxy } from './faultProxy';
 export type { PlannedFault } from './plan';
-export { FAULT_KINDS, planFaults } from './plan';
+export { FAULT_KINDS, PARTITION_KINDS, planFaults, planPartitions } from './plan';
 export type {
   ReceivedResponse,
   SentRequest,
@@ -12,3 +12,4 @@
 export { GuaranteeChecker, STORE, storePathOf } from './guarantees';
 export { TargetSignalChecker } from './targetSignals';
 export { FaultHistory } from './faultHistory';
+export { PartitionChecker } from './partitions';
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -36,8 +36,19 @@
   'store-restored',
 ] as const;
 
+/** Partitions of instances from all targets: how connections behave, and at which instances. */
+export const PARTITION_KINDS = [
+  'partition-hang-one',
+  'partition-reset-one',
+  'partition-new-hang-one',
+  'partition-hang-all-but-one',
+  'partition-reset-all-but-one',
+  'partition-new-hang-all-but-one',
+  'partition-reset-all',
+] as const;
+
 export interface PlannedFault {
-  kind: (typeof FAULT_KINDS)[number];
+  kind: (typeof FAULT_KINDS | typeof PARTITION_KINDS)[number];
   atMs: number;
   forMs: number;
   /** From 0 to 1: selects one of the components that the fault can affect. */
@@ -68,3 +79,26 @@
   }
   return plan;
 };
+
+/** Separates the partitions of a seed from its other faults, whose plan stays as it is. */
+const PARTITION_SEED_OFFSET = 1_000_003;
+const MAX_PARTITIONS = 4;
+const MIN_PARTITION_MS = 1500;
+const MAX_PARTITION_MS = 4500;
+const MAX_GAP_MS = 2500;
+
+/** Returns the partitions of a seed: up to four in series, some of them right after another. */
+export const planPartitions = (seed: number, totalMs: number): PlannedFault[] => {
+  const random = seededRandom(seed + PARTITION_SEED_OFFSET);
+  const count = Math.floor(random() * (MAX_PARTITIONS + 1));
+  const plan: PlannedFault[] = [];
+  let atMs = random() * MAX_GAP_MS;
+  while (plan.length < count && atMs + MIN_PARTITION_MS < totalMs) {
+    const kind = PARTITION_KINDS[Math.floor(random() * PARTITION_KINDS.length)];
+    const drawnMs = MIN_PARTITION_MS + random() * (MAX_PARTITION_MS - MIN_PARTITION_MS);
+    const forMs = Math.min(drawnMs, totalMs - atMs);
+    plan.push({ kind, atMs, forMs, which: random() });
+    atMs += forMs + Math.max(0, random() * 2 - 1) * MAX_GAP_MS;
+  }
+  return plan;
+};
