--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -3,6 +3,7 @@
 import { SpanKind, context, trace } from '@opentelemetry/api';
 import { isIdempotent } from '@cardamomladder/routing';
 import { tracer } from '@cardamomladder/telemetry';
+import { instanceId } from '@cardamomladder/types';
 import { FORWARDED_HEADER, encodeForwarded } from '../reach/forwardedRequest';
 import type { ForwardingPeer } from '../reach/forwardingPeers';
 import { sendAttempt } from '../targets/attempt';
@@ -64,6 +65,9 @@
     span.end();
     const name = result.kind === 'answer' ? 'answer' : result.reason;
     ctx.metrics.forwards.inc({ result: name });
+    if (result.kind === 'answer' || result.reason === 'rejected') ctx.peers.recordServing(peer.id);
+    if (result.kind === 'not-run' && result.otherPeer)
+      ctx.peers.recordServing(instanceId(result.otherPeer));
     const isUnusable = result.kind !== 'answer' && result.reason !== 'rejected';
     if (isUnusable && result.reason !== 'cancelled') {
       ctx.peers.avoid(peer.id);
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -149,7 +149,7 @@
   ctx.metrics.rejections.inc({ reason });
   if (request.isForwarded) {
     res.setHeader(ctx.wire.headers.notRun, '1');
-    if (ctx.reach.isCutOff) res.setHeader(CUT_OFF_HEADER, '1');
+    if (ctx.reach.isCutOff) res.setHeader(CUT_OFF_HEADER, ctx.peers.servingPeer ?? '');
   }
   ctx.log.write('rejected', request.id, () => ({
     reason,
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -54,7 +54,14 @@
       remaining?: IncomingMessage;
       load?: LoadReport;
     }
-  | { kind: 'not-run'; reason: NotRunReason; load?: LoadReport; restMs?: number }
+  | {
+      kind: 'not-run';
+      reason: NotRunReason;
+      load?: LoadReport;
+      restMs?: number;
+      /** The instance that a peer which is cut off names instead of itself. */
+      otherPeer?: string;
+    }
   | { kind: 'lost'; reason: LostReason };
 
 /** A send in progress. */
@@ -146,7 +153,8 @@
       if (notRun === 'rejected') options.onStatement(statement, 'refusal');
       response.resume();
       response.on('error', () => {});
-      finish({ kind: 'not-run', reason: notRun, load, restMs });
+      const otherPeer = response.headers[CUT_OFF_HEADER] as string | undefined;
+      finish({ kind: 'not-run', reason: notRun, load, restMs, otherPeer });
       return;
     }
     if (!isGenuine(response, wire.headers, requestId)) {
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -10,3 +10,8 @@
   CrashSimulationOptions,
 } from './simulation/crashSimulationOptions';
 export { simulateCrashes } from './simulation/crashSimulation';
+export type {
+  PartitionSimulationOptions,
+  PartitionSimulationReport,
+} from './simulation/partitionSimulation';
+export { simulatePartition } from './simulation/partitionSimulation';
