--- a/packages/gateway/src/reach/instanceReach.ts
+++ b/packages/gateway/src/reach/instanceReach.ts
@@ -1,10 +1,14 @@
 /** Creates the reach monitor and the forwarding peers of one instance. */
 import { first, skip } from 'rxjs';
+import type { ServiceName } from '@cardamomladder/types';
+import { splitAddress } from '@cardamomladder/types';
 import type { Components } from '../components';
 import { knownInstances } from '../peers/recentPeers';
 import type { TargetRegistry } from '../targets/registry';
 import { ForwardingPeers } from './forwardingPeers';
+import type { ProbedTarget } from './probe';
 import { probeTargets } from './probe';
+import { selectProbedTargets } from './probedTargets';
 import { ReachMonitor } from './reachMonitor';
 
 /** Creates the monitor; it first probes targets when the first configuration arrives. */
@@ -12,8 +16,15 @@
   { clusterState, cutOff, metrics, log, now }: Components,
   registry: TargetRegistry,
 ): ReachMonitor => {
+  const healthPathOf = (service: ServiceName): string =>
+    clusterState.configuration?.services.find(({ name }) => name === service)?.healthPath ?? '/';
+  const probedTargets = (): ProbedTarget[] =>
+    selectProbedTargets(registry.servicePools, now(), Math.random).map(({ address, service }) => ({
+      ...splitAddress(address),
+      healthPath: healthPathOf(service),
+    }));
   const reach = new ReachMonitor({
-    probe: () => probeTargets(registry.probedTargets(Math.random), now),
+    probe: () => probeTargets(probedTargets(), now),
     cutOff,
     now,
     log: (event, detail) => log.write('reach', undefined, { event, ...detail }),
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -32,8 +32,6 @@
 import { regionName, splitAddress } from '@cardamomladder/types';
 import type { FleetMembers } from '../lifecycle/fleetMembers';
 import type { AdvertisedInstances } from '../lifecycle/advertisedInstances';
-import type { ProbedTarget } from '../reach/probe';
-import { selectProbedTargets } from '../reach/probedTargets';
 import { TargetConnections } from './connections';
 import { RecentlyRemovedTargets } from './recentlyRemovedTargets';
 import { IdleLimit } from './idleLimit';
@@ -160,17 +158,9 @@
     });
   }
 
-  /** The targets to probe for whether this instance reaches any. */
-  probedTargets(random: () => number): ProbedTarget[] {
-    const pools = [...this.pools.values()].map(({ pool }) => pool);
-    return selectProbedTargets(pools, this.options.now(), random)
-      .map(({ id }) => this.targets.get(id))
-      .filter((target) => target !== undefined)
-      .map(({ host, port, placed }) => ({
-        host,
-        port,
-        healthPath: this.services.get(placed.service)?.healthPath ?? '/',
-      }));
+  /** The pools of all services with known targets. */
+  get servicePools(): ServicePool[] {
+    return [...this.pools.values()].map(({ pool }) => pool);
   }
 
   /** Records a target's report that it is leaving; true if it is the first one. */
