--- /dev/null
+++ b/packages/gateway/src/targets/reachableTarget.ts
@@ -0,0 +1,34 @@
+/** A target with its connections, and what is shared by the targets of a service. */
+import type { TargetEntry } from '@cardamomladder/fleet';
+import type {
+  PeakResponseTime,
+  PriorityBaseline,
+  Rankings,
+  ReportStaleness,
+  ServicePool,
+  TargetState,
+} from '@cardamomladder/steering';
+import type { TargetConnections } from './connections';
+import type { IdleLimit } from './idleLimit';
+
+/** A target with its address and connections. */
+export interface ReachableTarget {
+  placed: TargetState;
+  host: string;
+  port: number;
+  /** Its connections, created on first use, as most instances send to few of the known targets. */
+  connections: () => TargetConnections;
+  /** Its latest registry entry. */
+  entry: TargetEntry;
+}
+
+/** A service's pool, its cached rankings, and the state derived from all its targets. */
+export interface ServiceTargets {
+  pool: ServicePool;
+  rankings: Rankings;
+  idleLimit: IdleLimit;
+  reportStaleness: ReportStaleness;
+  priorityBaseline: PriorityBaseline;
+  /** The longest recent response times, for objects that the target was sent before and for new ones. */
+  peakResponseTimes: { cached: PeakResponseTime; uncached: PeakResponseTime };
+}
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -33,33 +33,14 @@
 import type { FleetMembers } from '../lifecycle/fleetMembers';
 import type { AdvertisedInstances } from '../lifecycle/advertisedInstances';
 import { TargetConnections } from './connections';
+import type { ReachableTarget, ServiceTargets } from './reachableTarget';
 import { RecentlyRemovedTargets } from './recentlyRemovedTargets';
 import { IdleLimit } from './idleLimit';
 import { demandByDomain, demandByRegion } from './regionDemand';
 import { compareRuns } from './runs';
 import { ShareCache } from './shareCache';
 
-/** A target with its address and connections. */
-export interface ReachableTarget {
-  placed: TargetState;
-  host: string;
-  port: number;
-  /** Its connections, created on first use, as most instances send to few of the known targets. */
-  connections: () => TargetConnections;
-  /** Its latest registry entry. */
-  entry: TargetEntry;
-}
-
-/** A service's pool, its cached rankings, and the state derived from all its targets. */
-export interface ServiceTargets {
-  pool: ServicePool;
-  rankings: Rankings;
-  idleLimit: IdleLimit;
-  reportStaleness: ReportStaleness;
-  priorityBaseline: PriorityBaseline;
-  /** The longest recent response times, for objects that the target was sent before and for new ones. */
-  peakResponseTimes: { cached: PeakResponseTime; uncached: PeakResponseTime };
-}
+export type { ReachableTarget, ServiceTargets } from './reachableTarget';
 
 /** Dependencies and settings of the registry. */
 export interface TargetRegistryOptions {
