The loss of all links is announced after another probe; old entries do not end the search for a peer

A loss of links now reaches the registry after 300 ms, and if all entries say cut off, one peer is asked all the same; its own answer decides.

--- a/packages/gateway/src/components.ts
+++ b/packages/gateway/src/components.ts
@@ -1,6 +1,6 @@
 /** Creates the components that the servers and background tasks of one instance share. */
 import { randomUUID } from 'node:crypto';
-import { BehaviorSubject, skip } from 'rxjs';
+import { BehaviorSubject, delay, distinctUntilChanged, of, skip, startWith, switchMap } from 'rxjs';
 import type { Follower, InstanceEntry, Registration, Store } from '@cardamomladder/fleet';
 import { ClusterState, CrashReports, follow, startRegistration } from '@cardamomladder/fleet';
 import type { InstanceSettings } from '@cardamomladder/settings';
@@ -40,6 +40,8 @@
   self: InstanceEntry;
   /** True while this instance reaches no target. */
   cutOff: BehaviorSubject<boolean>;
+  /** The same, once it has lasted for a moment; peers and directories are told only then. */
+  announcedCutOff: BehaviorSubject<boolean>;
   /** The registry entry of this instance as it should be now. */
   ownEntry: () => InstanceEntry;
   recentPeers: RecentPeers;
@@ -129,6 +131,9 @@
   return recentPeers;
 };
 
+/** Time after which the loss of all links is announced, ms: one more probe, so that a stall of the targets or of this process writes nothing. */
+const ANNOUNCE_AFTER_MS = 300;
+
 /** Creates the shared components. */
 export const createComponents = (
   settings: () => InstanceSettings,
@@ -145,6 +150,15 @@
   const quarantine = createQuarantine(clusterState, log, now);
   const self = ownEntryOf(settings());
   const cutOff = new BehaviorSubject(false);
+  const announcedCutOff = new BehaviorSubject(false);
+  cutOff
+    .pipe(
+      skip(1),
+      switchMap((value) => of(value).pipe(delay(value ? ANNOUNCE_AFTER_MS : 0))),
+      startWith(false),
+      distinctUntilChanged(),
+    )
+    .subscribe(announcedCutOff);
   return {
     settings,
     store,
@@ -155,7 +169,8 @@
     clusterState,
     self,
     cutOff,
-    ownEntry: () => (cutOff.value ? { ...self, cutOff: true } : self),
+    announcedCutOff,
+    ownEntry: () => (announcedCutOff.value ? { ...self, cutOff: true } : self),
     recentPeers,
     fleet,
     advertised: new AdvertisedInstances(clusterState, now),
@@ -215,7 +230,8 @@
 export const registerWhenConfigured = (
   components: Components,
 ): (() => Registration | undefined) => {
-  const { store, clusterState, self, ownEntry, cutOff, fleet, phase, log, now } = components;
+  const { store, clusterState, self, ownEntry, announcedCutOff, fleet, phase, log, now } =
+    components;
   let registration: Registration | undefined;
   const subscription = clusterState.changes.subscribe((change) => {
     if (change.kind !== 'configuration' || phase.value !== 'starting') return;
@@ -230,7 +246,7 @@
       report: (event, detail) => log.write('registration', undefined, { event, detail }),
     });
   });
-  cutOff.pipe(skip(1)).subscribe(() => {
+  announcedCutOff.pipe(skip(1)).subscribe(() => {
     const spreadMs = Math.min(MAX_UPDATE_SPREAD_MS, fleet.size() * UPDATE_SPREAD_PER_INSTANCE_MS);
     setTimeout(() => registration?.update(), Math.random() * spreadMs).unref();
   });
--- a/packages/gateway/src/reach/__tests__/forwardingPeers.test.ts
+++ b/packages/gateway/src/reach/__tests__/forwardingPeers.test.ts
@@ -61,6 +61,12 @@
     expect(choose()).toBe('near');
   });
 
+  it('are asked although their entry says that they are cut off, one for a request, if all entries do', () => {
+    // Guards against rejecting requests because of registry entries from before the links returned.
+    known = known.map((each) => ({ ...each, ...CUT }));
+    expect([choose(), choose([], ['near'])]).toEqual(['near', undefined]);
+  });
+
   it('are named by a peer that could not serve a request itself', () => {
     // Guards against trying hundreds of peers while nearly all instances are cut off.
     known = Array.from({ length: 300 }, (_, i) => entry(`i-${i}`, 'north-a'));
--- a/packages/gateway/src/reach/forwardingPeers.ts
+++ b/packages/gateway/src/reach/forwardingPeers.ts
@@ -58,14 +58,16 @@
   ): ForwardingPeer | undefined {
     if (tried.size >= MAX_PEERS_PER_REQUEST) return undefined;
     const { self, known, now, random } = this.options;
-    const candidates = [...known()].filter(
-      ({ id, region, cutOff }) =>
+    const usable = [...known()].filter(
+      ({ id, region }) =>
         id !== self.id &&
-        !cutOff &&
         !tried.has(id) &&
         (this.avoidedUntil.get(id) ?? 0) <= now() &&
         (homeRegions.length === 0 || homeRegions.includes(region)),
     );
+    const reaching = usable.filter(({ cutOff }) => !cutOff);
+    // An entry may be older than the end of the partition, so one peer is asked all the same.
+    const candidates = reaching.length > 0 || tried.size > 0 ? reaching : usable;
     if (candidates.length === 0) return undefined;
     const named = candidates.find(({ id }) => tried.size > 0 && id === this.servingPeer);
     if (named) return this.toPeer(named);
