Peers that are leaving serve forwarded requests; one that does not lets another be asked

A peer that had got SIGTERM, but was still registered, rejected what was forwarded to it, and the first instance passed that on to its caller. New test: requests over a cut-off instance while the second instance stops, all served.

--- a/packages/gateway/src/reach/forwardedRequest.ts
+++ b/packages/gateway/src/reach/forwardedRequest.ts
@@ -10,7 +10,7 @@
 
 /** Header of a forwarded request; only read on the address for peers. */
 export const FORWARDED_HEADER = 'cardamomladder-forwarded';
-/** Header of the response of a peer that is cut off from all targets itself; names an instance that serves its requests, if there is one. */
+/** Header of the response of a peer that cannot serve the request, mostly since it is cut off itself; names an instance that serves its requests, if there is one. */
 export const CUT_OFF_HEADER = 'cardamomladder-cut-off';
 
 const schema = z.object({
--- a/packages/gateway/src/server/forwardedServer.ts
+++ b/packages/gateway/src/server/forwardedServer.ts
@@ -13,7 +13,7 @@
 import type { InstanceId, RequestId } from '@cardamomladder/types';
 import type { Phase } from '../lifecycle/phase';
 import type { ForwardedRequest } from '../reach/forwardedRequest';
-import { FORWARDED_HEADER, decodeForwarded } from '../reach/forwardedRequest';
+import { CUT_OFF_HEADER, FORWARDED_HEADER, decodeForwarded } from '../reach/forwardedRequest';
 import type { CallerRequest } from '../requests/callerRequest';
 import {
   deadlineOf,
@@ -102,7 +102,10 @@
     const maxBytes = configured.limits?.bodyBytes ?? MAX_BODY_BYTES;
     const body = hasBody(req) ? await readBody(req, maxBytes) : undefined;
     const route = configured.routes?.(req.headers.host ?? '', req.url ?? '/');
-    if (decoded.value.to !== self || phase.value !== 'serving') {
+    const isServing = phase.value === 'serving' || phase.value === 'leaving';
+    if (decoded.value.to !== self || !isServing) {
+      // Another peer may serve it.
+      res.setHeader(CUT_OFF_HEADER, '');
       rejectNotRun(res, `instance ${decoded.value.to} does not serve here`, 0);
       return;
     }
