Repeats are logged by service and second

Each instance now writes one line for each second in which a service had repeats: granted, free, refused, the requests in the window, the fleet size and the time since the start.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -18,6 +18,7 @@
   | 'crash-report'
   | 'quarantine'
   | 'repeat-refused'
+  | 'repeats'
   | 'rejected'
   | 'failed'
   | 'timed-out'
@@ -45,6 +46,7 @@
   'crash-report': 10,
   quarantine: 10,
   'repeat-refused': 5,
+  repeats: 20,
   rejected: 10,
   failed: 10,
   'timed-out': 10,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -102,8 +102,13 @@
     peers: createForwardingPeers(components),
     self: self.id,
     crashes: createCrashDetector(components, reach),
-    retryBudgetOf: createRetryBudgets(() => settings().bounds),
-    fleetSize: () => fleet.size(),
+    retriesOf: createRetryBudgets({
+      bounds: () => settings().bounds,
+      fleetSize: () => fleet.size(),
+      metrics,
+      log,
+      now,
+    }),
     apiKeysRequired: () => clusterState.configuration?.customers !== undefined,
     versions: () => ({
       configuration: clusterState.configuration?.version ?? 0,
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
 import type { CrashReports } from '@cardamomladder/fleet';
-import type { RecentAnswers, Quarantine, RetryBudget } from '@cardamomladder/steering';
+import type { RecentAnswers, Quarantine } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type {
   IssuedRequest,
@@ -23,6 +23,7 @@
 import { sendGatewayResponse } from './responses';
 import type { CallerRequest } from './callerRequest';
 import { callerDigestOf, requestDigestOf } from './digest';
+import type { ServiceRetries } from './retryBudgets';
 
 /** Dependencies for handling requests, provided by the instance. */
 export interface ServeContext {
@@ -36,9 +37,7 @@
   quarantine: Quarantine;
   recentAnswers: RecentAnswers;
   crashReports: Pick<CrashReports, 'answered'>;
-  retryBudgetOf: (service: ServiceName) => RetryBudget;
-  /** Number of instances that share the retry budget. */
-  fleetSize: () => number;
+  retriesOf: (service: ServiceName) => ServiceRetries;
   /** True when customers authenticate with API keys, which must not be forwarded to targets. */
   apiKeysRequired: () => boolean;
   /** Versions of the configuration and of the store data in use, for the log. */
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -48,11 +48,11 @@
   if (request.deadlineAt - ctx.now() < MIN_SEND_TIME_MS) return undefined;
   const choice = chooseDestination(execution);
   if (choice.kind === 'rejected') return undefined;
+  const retries = ctx.retriesOf(request.service);
   // A send that reached no target put no load on any, so its retry is free.
-  const granted =
-    reachedNoTarget(outcome) ||
-    ctx.retryBudgetOf(request.service).tryWithdraw(ctx.now(), ctx.fleetSize());
-  ctx.metrics.retryBudgetRequests.inc({ granted: granted ? 'yes' : 'no' });
+  const isFree = reachedNoTarget(outcome);
+  if (isFree) retries.countFreeRepeat();
+  const granted = isFree || retries.withdraw();
   if (!granted) ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
   return granted ? consumeRateLimit(choice, execution) : undefined;
 };
@@ -256,7 +256,7 @@
 ): Promise<ServeOutcome> => {
   const execution = new RequestExecution(request, req, res, ctx, span);
   // The instance that forwarded a request has counted it already.
-  if (!request.isForwarded) ctx.retryBudgetOf(request.service).deposit(ctx.now());
+  if (!request.isForwarded) ctx.retriesOf(request.service).countRequest();
   const timeLeftMs = Math.max(0, request.deadlineAt - ctx.now());
   const timer = setTimeout(() => {
     if (!res.headersSent) timeOut(execution);
