--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -15,3 +15,8 @@
   PartitionSimulationReport,
 } from './simulation/partitionSimulation';
 export { simulatePartition } from './simulation/partitionSimulation';
+export type { ArrivalWindow, Arrivals } from './simulation/retries/arrivalWindows';
+export { worstWindow } from './simulation/retries/arrivalWindows';
+export type { RetryPlay, RetryReport, RetryStrategy } from './simulation/retries/retrySimulation';
+export { simulateRetries } from './simulation/retries/retrySimulation';
+export { equalShares } from './simulation/retries/retryStrategies';
