Repeats are earned for a short time or claimed from the store, not shared out by count

Cause: what the whole fleet may spend in a window was divided by a count of instances and kept by each process alone.

Change: a request earns 0.17 of a repeat that is valid for 1.5 s, so what is sent in a window follows the requests of that window whatever earlier lives have sent. The fixed number is split into slots in the store, claimed under a condition before they are spent, and claimed again only a window after the repeats of the last claim. No count of instances is used but to spread calls; no call is made while earned repeats last. A repeat that finds none at hand waits for a claim, 0.3 s at most, and not at all while the store does not answer or all slots are claimed.

The soak checks the bound.

--- a/packages/fleet/src/records.ts
+++ b/packages/fleet/src/records.ts
@@ -7,11 +7,13 @@
 import type { Observable } from 'rxjs';
 import type { Configuration } from '@cardamomladder/routing';
 import type {
+  ClaimableSlot,
   CrashReport,
   FailureDomainName,
   InstanceId,
   RegionName,
   ServiceName,
+  SlotClaim,
   SocketAddress,
   StoreEpoch,
   StorePosition,
@@ -96,9 +98,10 @@
  * - `history-gone`: the requested changes have been compacted, or the response
  *   predates a restore of the store; a new list is required.
  * - `lease-ended`: the lease is no longer held.
+ * - `conflict`: the condition of a write does not hold; nothing was written.
  */
 export interface StoreFailure {
-  kind: 'unavailable' | 'history-gone' | 'lease-ended';
+  kind: 'unavailable' | 'history-gone' | 'lease-ended' | 'conflict';
   message: string;
 }
 
@@ -130,6 +133,18 @@
   reportId: (key: string) => string;
   /** Removes reports by key; keys that no longer exist are ignored. */
   removeReports: (keys: readonly string[]) => ResultAsync<void, StoreFailure>;
+  /** Reads the claims of a service's shared repeats. */
+  readRetryClaims: (service: ServiceName) => ResultAsync<SlotClaim[], StoreFailure>;
+  /**
+   * Claims slots of a service's shared repeats, all or none; `claimedAt` is the time of
+   * day, ms. Written without a lease: a claim must outlive the instance and any outage.
+   * Returns the store revision of the claims.
+   */
+  claimRetries: (
+    service: ServiceName,
+    slots: readonly ClaimableSlot[],
+    claimedAt: number,
+  ) => ResultAsync<number, StoreFailure>;
   /** Emits when a response carries a later epoch than all previous responses. */
   epochs: Observable<StoreEpoch>;
   /** Closes open connections. */
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -19,6 +19,7 @@
   | 'quarantine'
   | 'repeat-refused'
   | 'repeats'
+  | 'retry-claim'
   | 'rejected'
   | 'failed'
   | 'timed-out'
@@ -47,6 +48,7 @@
   quarantine: 10,
   'repeat-refused': 5,
   repeats: 20,
+  'retry-claim': 5,
   rejected: 10,
   failed: 10,
   'timed-out': 10,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -87,7 +87,7 @@
   reach: ReachMonitor,
   quotas: Quotas,
 ) => {
-  const { settings, clusterState, phase, wire, fleet, self, metrics, log, now } = components;
+  const { settings, store, clusterState, phase, wire, fleet, self, metrics, log, now } = components;
   const { quarantine, recentAnswers, crashReports } = components;
   return createCallerServer({
     quotas,
@@ -104,6 +104,7 @@
     crashes: createCrashDetector(components, reach),
     retriesOf: createRetryBudgets({
       bounds: () => settings().bounds,
+      store,
       fleetSize: () => fleet.size(),
       metrics,
       log,
--- a/packages/gateway/src/peers/__fixtures__/simulatedStore.ts
+++ b/packages/gateway/src/peers/__fixtures__/simulatedStore.ts
@@ -143,6 +143,8 @@
       reportId: (key) => key.replace('crashes/', ''),
       epochs,
       removeReports: () => call(async () => {}),
+      readRetryClaims: () => call(async () => []),
+      claimRetries: () => call(async () => this.revision),
       close: () => {},
     };
   }
--- /dev/null
+++ b/packages/gateway/src/requests/chooseRetry.ts
@@ -0,0 +1,65 @@
+/** Decides whether a request is sent once more, and where. */
+import type { AttemptOutcome } from '../targets/attempt';
+import type { Destination } from './destination';
+import { chooseDestination } from './destination';
+import type { RequestExecution } from './requestExecution';
+import { MIN_SEND_TIME_MS, shouldRetry } from './retryPolicy';
+
+/**
+ * Counts the request against the target's rate limit as soon as the target is
+ * chosen, as other requests may be placed before this one is sent.
+ */
+export const consumeRateLimit = (
+  destination: Destination,
+  { ctx }: RequestExecution,
+): Destination => {
+  if (destination.kind === 'target')
+    destination.target.placed.selfReport.limit.recordSend(ctx.now());
+  return destination;
+};
+
+/** True if the send put no load on any target. */
+export const reachedNoTarget = (outcome: AttemptOutcome): boolean =>
+  outcome.kind === 'not-run' && (outcome.reason === 'unreachable' || outcome.reason === 'cut-off');
+
+/** True if the request and its deadline allow a retry after the outcome. */
+const mayRetry = (execution: RequestExecution, outcome: AttemptOutcome): boolean => {
+  const { request, ctx } = execution;
+  if (execution.ended || !execution.maySendMore || execution.quarantined) return false;
+  if (!shouldRetry(request.route.kind, outcome)) return false;
+  return request.deadlineAt - ctx.now() >= MIN_SEND_TIME_MS;
+};
+
+/** Chooses the destination of a retry, if the request and its deadline allow one and there is a destination. */
+const chooseRetryDestination = (
+  execution: RequestExecution,
+  outcome: AttemptOutcome,
+): Destination | undefined => {
+  if (!mayRetry(execution, outcome)) return undefined;
+  const choice = chooseDestination(execution);
+  return choice.kind === 'rejected' ? undefined : choice;
+};
+
+/** Chooses the destination of a retry, if there is one and the retry budget allows it. */
+export const chooseRetry = async (
+  execution: RequestExecution,
+  outcome: AttemptOutcome,
+): Promise<Destination | undefined> => {
+  const { request, ctx, sends } = execution;
+  const destination = chooseRetryDestination(execution, outcome);
+  if (!destination) return undefined;
+  const retries = ctx.retriesOf(request.service);
+  // A send that reached no target put no load on any, so its retry is free.
+  if (reachedNoTarget(outcome)) {
+    retries.countFreeRepeat();
+    return consumeRateLimit(destination, execution);
+  }
+  if (retries.tryWithdraw()) return consumeRateLimit(destination, execution);
+  if (!(await retries.withdraw())) {
+    ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
+    return undefined;
+  }
+  // The targets may have changed meanwhile.
+  const later = chooseRetryDestination(execution, outcome);
+  return later && consumeRateLimit(later, execution);
+};
--- a/packages/gateway/src/requests/retryBudgets.ts
+++ b/packages/gateway/src/requests/retryBudgets.ts
@@ -3,11 +3,16 @@
 import { RetryBudget } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type { ServiceName } from '@cardamomladder/types';
+import { sleep } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { RepeatDecision } from './repeatCounts';
 import { RepeatCounts } from './repeatCounts';
+import type { ClaimStore } from './retryReserve';
+import { createRetryReserve } from './retryReserve';
 
 const MS_PER_SECOND = 1000;
+/** How long a repeat waits for a claim, ms: a read and a write over the longest distance, and once more. */
+const CLAIM_WAIT_MS = 300;
 
 /** The repeats of one service at this instance. */
 export interface ServiceRetries {
@@ -15,14 +20,16 @@
   countRequest: () => void;
   /** Counts a repeat that is sent free of charge, since the last send reached no target. */
   countFreeRepeat: () => void;
-  /** Asks the budget for one repeat. */
-  withdraw: () => boolean;
+  /** Takes one repeat if the budget has one at hand. */
+  tryWithdraw: () => boolean;
+  /** Takes one repeat, from the fleet's supply if need be; resolves within `CLAIM_WAIT_MS`. */
+  withdraw: () => Promise<boolean>;
 }
 
 /** Dependencies of the budgets. */
 export interface RetryBudgetOptions {
   bounds: () => InstanceSettings['bounds'];
-  /** Number of instances that share the bound. */
+  store: ClaimStore;
   fleetSize: () => number;
   metrics: GatewayMetrics;
   log: DecisionLog;
@@ -32,11 +39,23 @@
 const createServiceRetries = (
   service: ServiceName,
   startedAt: number,
-  { bounds, fleetSize, metrics, log, now }: RetryBudgetOptions,
+  { bounds, store, fleetSize, metrics, log, now }: RetryBudgetOptions,
 ): ServiceRetries => {
   const { repeatRatio, repeatExtra, repeatWindowSeconds } = bounds();
   const windowMs = repeatWindowSeconds * MS_PER_SECOND;
-  const budget = new RetryBudget({ ratio: repeatRatio, extra: repeatExtra, windowMs });
+  const bound = { ratio: repeatRatio, extra: repeatExtra, windowMs };
+  const budget = new RetryBudget(bound, Math.random);
+  const reserve = createRetryReserve({
+    service,
+    bound,
+    store,
+    fleetSize,
+    random: Math.random,
+    log,
+    now,
+    unixNow: Date.now,
+    onClaimed: (repeats, until) => budget.addClaimed(repeats, until),
+  });
   const counts = new RepeatCounts(service, windowMs, startedAt, (second) =>
     log.write('repeats', undefined, { ...second, fleetSize: fleetSize() }),
   );
@@ -44,15 +63,32 @@
     counts.countRepeat(decision, now());
     metrics.retryBudgetRequests.inc({ granted: decision === 'refused' ? 'no' : 'yes' });
   };
+  const tryWithdraw = (): boolean => {
+    const granted = budget.tryWithdraw(now());
+    if (granted) count('granted');
+    return granted;
+  };
+  let waiting = 0;
+  const withdrawClaimed = async (until: number): Promise<boolean> => {
+    for (;;) {
+      const replenished = now() < until ? reserve.replenish(waiting) : undefined;
+      if (!replenished) return false;
+      await Promise.race([replenished, sleep(until - now())]);
+      if (tryWithdraw()) return true;
+    }
+  };
   return {
     countRequest: () => {
       counts.countRequest(now());
       budget.deposit(now());
     },
     countFreeRepeat: () => count('free'),
-    withdraw: () => {
-      const granted = budget.tryWithdraw(now(), fleetSize());
-      count(granted ? 'granted' : 'refused');
+    tryWithdraw,
+    withdraw: async () => {
+      waiting += 1;
+      const granted = await withdrawClaimed(now() + CLAIM_WAIT_MS);
+      waiting -= 1;
+      if (!granted) count('refused');
       return granted;
     },
   };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -15,7 +15,8 @@
 import { chooseDestination, localityOf } from './destination';
 import { startForward } from './forward';
 import { QUARANTINE_RETRY_AFTER_MS, recordCrashEvidence } from './crashEvidence';
-import { MIN_SEND_TIME_MS, retryTimeoutMs, shouldRetry } from './retryPolicy';
+import { chooseRetry, consumeRateLimit, reachedNoTarget } from './chooseRetry';
+import { retryTimeoutMs, shouldRetry } from './retryPolicy';
 import type { Send } from './send';
 import { startSend } from './send';
 import type { ServeContext, ServeOutcome } from './requestExecution';
@@ -23,40 +24,6 @@
 
 type TargetResponse = Extract<AttemptOutcome, { kind: 'answer' }>;
 
-/**
- * Counts the request against the target's rate limit as soon as the target is
- * chosen, as other requests may be placed before this one is sent.
- */
-const consumeRateLimit = (destination: Destination, { ctx }: RequestExecution): Destination => {
-  if (destination.kind === 'target')
-    destination.target.placed.selfReport.limit.recordSend(ctx.now());
-  return destination;
-};
-
-/** True if the send put no load on any target. */
-const reachedNoTarget = (outcome: AttemptOutcome): boolean =>
-  outcome.kind === 'not-run' && (outcome.reason === 'unreachable' || outcome.reason === 'cut-off');
-
-/** Chooses the destination of a retry, if the request, its deadline and the retry budget allow one. */
-const chooseRetry = (
-  execution: RequestExecution,
-  outcome: AttemptOutcome,
-): Destination | undefined => {
-  const { request, ctx, sends } = execution;
-  if (execution.ended || !execution.maySendMore || execution.quarantined) return undefined;
-  if (!shouldRetry(request.route.kind, outcome)) return undefined;
-  if (request.deadlineAt - ctx.now() < MIN_SEND_TIME_MS) return undefined;
-  const choice = chooseDestination(execution);
-  if (choice.kind === 'rejected') return undefined;
-  const retries = ctx.retriesOf(request.service);
-  // A send that reached no target put no load on any, so its retry is free.
-  const isFree = reachedNoTarget(outcome);
-  if (isFree) retries.countFreeRepeat();
-  const granted = isFree || retries.withdraw();
-  if (!granted) ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
-  return granted ? consumeRateLimit(choice, execution) : undefined;
-};
-
 const TIMED_OUT: AttemptOutcome = { kind: 'lost', reason: 'timeout' };
 
 /** How long to wait for a response before a retry is considered, ms; undefined to wait until the deadline. */
@@ -220,6 +187,7 @@
 
 /** Sends and retries until there is a response, no further send is allowed, or the request was aborted. */
 const sendUntilAnswered = async (execution: RequestExecution): Promise<ServeOutcome> => {
+  const { request } = execution;
   if (execution.quarantined) return reject(execution, 'quarantined', QUARANTINE_RETRY_AFTER_MS);
   const choice = chooseDestination(execution);
   if (choice.kind === 'rejected') return reject(execution, choice.reason, choice.retryAfterMs);
@@ -236,10 +204,14 @@
     if (execution.ended) return execution.ended;
     mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
     if (outcome.kind === 'answer') lastResponse = outcome;
+    // A response may arrive while the retry waits for the budget.
+    if (retryWhileWaiting && outcome.kind === 'answer' && !shouldRetry(request.route.kind, outcome))
+      return finish(execution, outcome, mayHaveRun, destination);
     if (reachedNoTarget(outcome)) execution.countUnreachableSend();
     const retry =
       retryWhileWaiting ??
-      (isFinal(outcome, destination) ? undefined : chooseRetry(execution, outcome));
+      (isFinal(outcome, destination) ? undefined : await chooseRetry(execution, outcome));
+    if (execution.ended) return execution.ended;
     // An error response from one target is preferred to no response from the next.
     if (!retry) return finish(execution, lastResponse ?? outcome, mayHaveRun, destination);
     destination = retry;
--- a/packages/load/src/__tests__/retryBound.test.ts
+++ b/packages/load/src/__tests__/retryBound.test.ts
@@ -1,6 +1,6 @@
 /** Repeats of a whole fleet, simulated in virtual time, against the bound on them. */
 import { describe, expect, it } from 'vitest';
-import { equalShares, simulateRetries } from '..';
+import { earnedAndClaimed, simulateRetries } from '..';
 import { DISTURBED, play } from '../__fixtures__/retryPlays';
 
 const SIZES = [1, 8, 300];
@@ -13,7 +13,8 @@
   it.each(cases)('stay within the bound: %s, %d instances', (name, instances) => {
     // Guards against processes that start with a share their earlier life has spent.
     const ratios = RATES.map(
-      (rate) => simulateRetries(play(instances, rate, DISTURBED[name]), equalShares).worst.ratio,
+      (rate) =>
+        simulateRetries(play(instances, rate, DISTURBED[name]), earnedAndClaimed).worst.ratio,
     );
     console.log(`${name}, ${instances}: ${ratios.map((r) => r.toFixed(2)).join(' ')}`);
     expect(Math.max(...ratios)).toBeLessThanOrEqual(1);
@@ -29,7 +30,7 @@
     [calm, restarted].forEach((plan) => {
       const { asked, granted } = simulateRetries(
         play(instances, 165, () => plan),
-        equalShares,
+        earnedAndClaimed,
       );
       console.log(`${instances}: ${granted} of ${asked}`);
       expect(granted).toBe(asked);
@@ -41,7 +42,7 @@
     (instances) => {
       // Guards against the same.
       RATES.forEach((rate) => {
-        const calm = simulateRetries(play(instances, rate), equalShares);
+        const calm = simulateRetries(play(instances, rate), earnedAndClaimed);
         console.log(`${instances} at ${rate}: ${calm.worst.ratio.toFixed(2)}`);
         expect(calm.worst.ratio).toBeGreaterThanOrEqual(0.8);
       });
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -19,4 +19,4 @@
 export { worstWindow } from './simulation/retries/arrivalWindows';
 export type { RetryPlay, RetryReport, RetryStrategy } from './simulation/retries/retrySimulation';
 export { simulateRetries } from './simulation/retries/retrySimulation';
-export { equalShares } from './simulation/retries/retryStrategies';
+export { earnedAndClaimed, equalShares, growingShares } from './simulation/retries/retryStrategies';
--- a/packages/load/src/simulation/retries/retrySimulation.ts
+++ b/packages/load/src/simulation/retries/retrySimulation.ts
@@ -4,6 +4,7 @@
  * repeats that arrive in each window against the fleet-wide bound.
  */
 import type { RepeatBound } from '@cardamomladder/steering';
+import { maxInWindow } from '../../maxInWindow';
 import { EventQueue } from '../eventQueue';
 import { seededRandom } from '../loadSimulation';
 import type { ArrivalWindow } from './arrivalWindows';
@@ -30,6 +31,8 @@
   /** The number of instances that an instance knows of which started at `startedAt`. */
   knownInstances: (startedAt: number) => number;
   storeAnswers: () => boolean;
+  /** Counts a call to the store. */
+  countStoreCall: (kind: 'read' | 'write') => void;
 }
 
 /** Starts a life of an instance; called again when its process starts again. */
@@ -61,8 +64,12 @@
   granted: number;
   /** The window with the most repeats in proportion to the bound. */
   worst: ArrivalWindow;
+  /** Most calls to the store in one second. */
+  storeReadsPerSecond: number;
+  storeWritesPerSecond: number;
 }
 
+const MS_PER_SECOND = 1000;
 const SEND_MS = { least: 8, most: 100 };
 const REPEATS_PER_REQUEST = 2;
 /** Sends over a cut link are given up after this time, ms, and do not arrive. */
@@ -77,6 +84,7 @@
   const { instances, bound, endMs, cuts = [], lapses = [], storeOutages = [] } = play;
   const events = new EventQueue();
   const random = seededRandom(play.seed);
+  const storeCalls: Record<'read' | 'write', number[]> = { read: [], write: [] };
   const context: RetryContext = {
     bound,
     events,
@@ -87,6 +95,7 @@
       return events.now - startedAt < LIST_MS ? 1 : instances;
     },
     storeAnswers: () => !storeOutages.some((each) => covers(each, events.now)),
+    countStoreCall: (kind) => storeCalls[kind].push(events.now),
   };
   const start = strategy(context);
   const lives = Array.from({ length: instances }, (_, i) => start(i));
@@ -125,7 +134,7 @@
     });
   };
   const scheduleRequest = (): void =>
-    events.after((-Math.log(1 - random()) * 1000) / play.rate, () => {
+    events.after((-Math.log(1 - random()) * MS_PER_SECOND) / play.rate, () => {
       if (events.now >= endMs) return;
       requests.push(events.now);
       const instance = Math.floor(random() * instances);
@@ -139,5 +148,10 @@
     });
   scheduleRequest();
   events.runUntil(endMs);
-  return { ...counts, worst: worstWindow({ requests, repeats }, bound) };
+  return {
+    ...counts,
+    worst: worstWindow({ requests, repeats }, bound),
+    storeReadsPerSecond: maxInWindow(storeCalls.read, MS_PER_SECOND),
+    storeWritesPerSecond: maxInWindow(storeCalls.write, MS_PER_SECOND),
+  };
 };
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -13,3 +13,4 @@
 export { TargetSignalChecker } from './targetSignals';
 export { FaultHistory } from './faultHistory';
 export { PartitionChecker } from './partitions';
+export { RepeatChecker } from './repeats';
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -18,6 +18,8 @@
 export { PeakResponseTime, overdueAfterMs } from './placement/peakResponseTime';
 export type { RepeatBound } from './placement/retryBudget';
 export { RetryBudget } from './placement/retryBudget';
+export type { ClaimStep } from './placement/retryClaims';
+export { CLAIM_VALID_MS, RetryClaims } from './placement/retryClaims';
 export { PriorityBaseline } from './placement/priorityBaseline';
 export { UnansweredSends } from './placement/unansweredSends';
 export { SlidingWindowCounter } from './placement/slidingWindowCounter';
--- a/packages/steering/src/placement/__tests__/shares.test.ts
+++ b/packages/steering/src/placement/__tests__/shares.test.ts
@@ -34,14 +34,14 @@
         fc.array(fc.tuple(fc.integer({ min: 0, max: 8 }), fc.boolean()), { maxLength: 400 }),
         (events) => {
           const bound = { ratio: 0.2, extra: 58, windowMs: 10_000 };
-          const budgets = names(9).map(() => new RetryBudget(bound));
+          const budgets = names(9).map(() => new RetryBudget(bound, () => 0.5));
           let requests = 0;
           let repeats = 0;
           events.forEach(([at, wantsRepeat], i) => {
             const now = i * 20;
             budgets[at].deposit(now);
             requests += 1;
-            if (wantsRepeat && budgets[at].tryWithdraw(now, 9)) repeats += 1;
+            if (wantsRepeat && budgets[at].tryWithdraw(now)) repeats += 1;
           });
           expect(repeats).toBeLessThanOrEqual(bound.ratio * requests + bound.extra);
         },
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -53,3 +53,4 @@
 export { sleep } from './sleep';
 export type { FailureKind, SchemaIssue } from './errors';
 export { Failure, describeIssues, failure, fieldPath } from './errors';
+export type { ClaimableSlot, SlotClaim } from './retryClaims';
