Members of the fleet are recorded without a lease, so that a new process divides by all of them

Cause: entries of instances expire with their leases, also while the store is away. A process that starts then finds no entry, divides a cold target's rate by itself alone, and the others keep their shares for 30 s only. The size that announced limits and connections are divided by had the same fault.

Change: the write that registers an instance also records it as a member, without a lease and once; shares are divided among members, registered and recently removed instances.

--- a/packages/fleet/src/__tests__/registration.test.ts
+++ b/packages/fleet/src/__tests__/registration.test.ts
@@ -41,6 +41,7 @@
       return okAsync({ epoch: clusterState.epoch, revision: WRITTEN_AT });
     },
     instanceKey: (id: string) => `instances/${id}`,
+    memberKey: (id: string) => `members/${id}`,
     epochs: NEVER,
   } as unknown as Store;
   registration = startRegistration({
--- a/packages/fleet/src/clusterState.ts
+++ b/packages/fleet/src/clusterState.ts
@@ -50,6 +50,8 @@
   | ({ kind: 'restored' } & StoreRestored)
   | ({ kind: 'crash-report'; key: string; report: CrashReport } & StorePosition)
   | { kind: 'crash-report-gone'; key: string; revision: number }
+  | { kind: 'member'; id: InstanceId }
+  | { kind: 'member-gone'; id: InstanceId }
   | { kind: 'invalid'; key: string; problem: string };
 
 const isRemoval = (change: RecordChange): change is Extract<RecordChange, { removed: true }> =>
@@ -61,6 +63,9 @@
 
   readonly instances = new Map<InstanceId, InstanceEntry>();
 
+  /** Instances that belong to the fleet, whether or not their entries have lapsed. */
+  readonly members = new Set<InstanceId>();
+
   readonly evacuated = new Set<FailureDomainName>();
 
   configuration: Configuration | undefined;
@@ -182,6 +187,9 @@
       this.changes.next({ kind: 'instance-gone', id: fact.instance.id, revision });
     } else if (fact.kind === 'crash-report') {
       this.changes.next({ kind: 'crash-report-gone', key, revision });
+    } else if (fact.kind === 'member') {
+      this.members.delete(fact.id);
+      this.changes.next({ kind: 'member-gone', id: fact.id });
     }
   }
 
@@ -217,6 +225,10 @@
           revision,
         });
         return;
+      case 'member':
+        this.members.add(fact.id);
+        this.changes.next({ kind: 'member', id: fact.id });
+        return;
       default:
         this.changes.next({ kind: 'invalid', key, problem: fact.problem });
     }
--- a/packages/fleet/src/records.ts
+++ b/packages/fleet/src/records.ts
@@ -65,6 +65,7 @@
   | { kind: 'evacuation'; failureDomain: FailureDomainName }
   | { kind: 'instance'; instance: InstanceEntry }
   | { kind: 'crash-report'; report: CrashReport }
+  | { kind: 'member'; id: InstanceId }
   | { kind: 'invalid'; problem: string };
 
 /** A value with its key and the store revision at which it was last written. */
@@ -122,8 +123,19 @@
   renewLease: (id: number) => ResultAsync<void, StoreFailure>;
   /** Revokes a lease and removes the entries registered under it. */
   endLease: (id: number) => ResultAsync<void, StoreFailure>;
-  /** Writes the instance's entry under a lease and returns the store position of the write. */
-  register: (instance: InstanceEntry, leaseId: number) => ResultAsync<StorePosition, StoreFailure>;
+  /**
+   * Writes the instance's entry under a lease and returns the store position of the
+   * write. With `asMember`, the same write records without a lease that the instance
+   * belongs to the fleet, for instances that start while entries have lapsed.
+   */
+  register: (
+    instance: InstanceEntry,
+    leaseId: number,
+    asMember: boolean,
+  ) => ResultAsync<StorePosition, StoreFailure>;
+  memberKey: (id: InstanceId) => string;
+  /** Removes the records of members; ids without a record are ignored. */
+  removeMembers: (ids: readonly InstanceId[]) => ResultAsync<void, StoreFailure>;
   /** Returns the key of an instance's entry, used to detect its removal. */
   instanceKey: (id: InstanceId) => string;
   /** Writes a crash report without a lease; the write is idempotent. */
--- a/packages/fleet/src/registration.ts
+++ b/packages/fleet/src/registration.ts
@@ -63,7 +63,8 @@
 
   const writeEntry = async (lease: number): Promise<void> => {
     const current = entry();
-    const written = await store.register(current, lease);
+    const asMember = !clusterState.hasRecord(store.memberKey(self.id));
+    const written = await store.register(current, lease, asMember);
     if (written.isErr()) {
       reportFailure('entry', written.error);
       return;
--- a/packages/fleet/src/stateUpdater.ts
+++ b/packages/fleet/src/stateUpdater.ts
@@ -14,7 +14,7 @@
 
 /** Whether a record is kept after the store has lost it: an older configuration is never activated, and crash reports are written again. */
 const survivesStoreLoss = (fact: RecordValue | undefined): boolean =>
-  fact?.kind === 'configuration' || fact?.kind === 'crash-report';
+  fact?.kind === 'configuration' || fact?.kind === 'crash-report' || fact?.kind === 'member';
 
 const canExpire = (fact: RecordValue | undefined): boolean =>
   (fact?.kind === 'target' && !fact.target.leaving) || fact?.kind === 'instance';
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -3,6 +3,7 @@
 import type { InstanceSettings } from '@cardamomladder/settings';
 import type { GatewayMetrics, LineWriter } from '@cardamomladder/telemetry';
 import { monitorLoopDelay } from './lifecycle/loopDelay';
+import { startMemberCleanup } from './lifecycle/memberCleanup';
 import { stopGracefully } from './lifecycle/stop';
 import { startListeners } from './listeners';
 import { createComponents, registerWhenConfigured, startStoreFollower } from './components';
@@ -40,6 +41,7 @@
   const linesDropped = () => logWriter?.dropped() ?? 0;
   const listeners = await startListeners(components, follower, linesDropped);
   const stopLoopMonitor = monitorLoopDelay(components);
+  const memberCleanup = startMemberCleanup({ store, clusterState, self: self.id, log, now });
   log.write('lifecycle', undefined, { event: 'started', id: self.id, ...settings.listen });
 
   return {
@@ -61,6 +63,7 @@
         now,
       });
       stopLoopMonitor();
+      memberCleanup.unsubscribe();
       follower.stop();
       crashReports.stop();
       listeners.close();
--- a/packages/gateway/src/lifecycle/advertisedInstances.ts
+++ b/packages/gateway/src/lifecycle/advertisedInstances.ts
@@ -77,6 +77,7 @@
 
   private computeSharers(): SharingInstances {
     const ids = [...this.advertised, ...this.recentlyRemoved.ids()];
-    return { ids, size: Math.max(this.settled ? 1 : ASSUMED_FLEET_SIZE, ids.length) };
+    const assumed = this.settled ? 1 : Math.max(ASSUMED_FLEET_SIZE, this.clusterState.members.size);
+    return { ids, size: Math.max(assumed, ids.length) };
   }
 }
--- a/packages/gateway/src/peers/__fixtures__/simulatedStore.ts
+++ b/packages/gateway/src/peers/__fixtures__/simulatedStore.ts
@@ -136,7 +136,10 @@
       grantLease: (ttlMs) => call(async () => this.grant(ttlMs)),
       renewLease: (id) => call(async () => this.renew(id)),
       endLease: (id) => call(async () => this.end(id)),
-      register: (instance, lease) => call(async () => this.register(instance, lease)),
+      register: (instance, lease, asMember) =>
+        call(async () => this.register(instance, lease, asMember)),
+      memberKey: (id) => `members/${id}`,
+      removeMembers: () => call(async () => {}),
       instanceKey: (id) => `instances/${id}`,
       fileReport: () => call(async () => {}),
       reportKey: (id) => `crashes/${id}`,
@@ -189,9 +192,10 @@
     lease.endsAt = this.now() + lease.ttlMs;
   }
 
-  private register(instance: InstanceEntry, lease: number): StorePosition {
+  private register(instance: InstanceEntry, lease: number, asMember: boolean): StorePosition {
     if (!this.leases.has(lease)) throw new StoreCallError('lease-ended', 'no such lease');
     this.put(`instances/${instance.id}`, { kind: 'instance', instance }, lease);
+    if (asMember) this.put(`members/${instance.id}`, { kind: 'member', id: instance.id });
     return this.position;
   }
 
--- a/packages/gateway/src/targets/registry.ts
+++ b/packages/gateway/src/targets/registry.ts
@@ -273,7 +273,7 @@
     const existing = this.connectionsById.get(id);
     if (existing) return existing;
     const configuredMax = this.services.get(service)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-    const instances = Math.max(1, this.options.clusterState.instances.size);
+    const instances = Math.max(1, this.options.fleet.list().length);
     const created = new TargetConnections(
       Math.max(MIN_CONNECTIONS, Math.floor(configuredMax / instances)),
       this.options.now,
