Peers serve forwarded requests by the service that they were counted for

Read in the code: a peer drew the service of a forwarded request anew from the route's weights, so the request was counted for one service and its repeats sent at another, which had no requests to show for them. The header now names the service; a peer of an earlier version ignores it, and one that knows no such destination draws as before.

--- a/packages/gateway/src/reach/forwardedRequest.ts
+++ b/packages/gateway/src/reach/forwardedRequest.ts
@@ -5,8 +5,9 @@
  */
 import { Result } from 'neverthrow';
 import { z } from 'zod';
-import type { InstanceId } from '@cardamomladder/types';
-import { instanceId } from '@cardamomladder/types';
+import type { Route } from '@cardamomladder/routing';
+import type { InstanceId, ServiceName } from '@cardamomladder/types';
+import { instanceId, serviceName } from '@cardamomladder/types';
 
 /** Header of a forwarded request; only read on the address for peers. */
 export const FORWARDED_HEADER = 'cardamomladder-forwarded';
@@ -17,6 +18,7 @@
   to: z.string().transform(instanceId),
   caller: z.string(),
   customer: z.string().optional(),
+  service: z.string().transform(serviceName).optional(),
   waitedBeforeMs: z.number().min(0),
   attempts: z.number().int().min(1),
 });
@@ -29,6 +31,8 @@
   caller: string;
   /** Name of the customer whose rate limit it was counted against. */
   customer?: string;
+  /** The service that it was counted for; unset by instances of earlier versions. */
+  service?: ServiceName;
   waitedBeforeMs: number;
   /** The number of targets that it may still be sent to. */
   attempts: number;
@@ -44,3 +48,10 @@
     () => schema.parse(JSON.parse(decodeURIComponent(text))),
     (error) => new Error(`header ${FORWARDED_HEADER}: ${(error as Error).message}`),
   )();
+
+/** The service that the forwarding instance counted the request for, if the route still sends requests there. */
+export const countedServiceOf = (
+  { service }: Pick<ForwardedRequest, 'service'>,
+  { destinations }: Pick<Route, 'destinations'>,
+): ServiceName | undefined =>
+  destinations.find((destination) => destination.service === service)?.service;
--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -29,6 +29,7 @@
     to: peer.id,
     caller: request.caller,
     customer: request.customer?.name,
+    service: request.service,
     waitedBeforeMs: request.waitedBeforeMs,
     attempts,
   });
--- a/packages/gateway/src/server/forwardedServer.ts
+++ b/packages/gateway/src/server/forwardedServer.ts
@@ -13,7 +13,12 @@
 import type { InstanceId, RequestId } from '@cardamomladder/types';
 import type { Phase } from '../lifecycle/phase';
 import type { ForwardedRequest } from '../reach/forwardedRequest';
-import { CUT_OFF_HEADER, FORWARDED_HEADER, decodeForwarded } from '../reach/forwardedRequest';
+import {
+  CUT_OFF_HEADER,
+  FORWARDED_HEADER,
+  countedServiceOf,
+  decodeForwarded,
+} from '../reach/forwardedRequest';
 import type { CallerRequest } from '../requests/callerRequest';
 import {
   deadlineOf,
@@ -76,7 +81,7 @@
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       route: { ...route, maxAttempts: forwarded.attempts },
-      service: configured.split.next(route),
+      service: countedServiceOf(forwarded, route) ?? configured.split.next(route),
       customer,
       homeRegions,
       priority: customer?.priority ?? route.priority,
