Sends that are given up reset their connection, so that they do not arrive when a cut link heals

What was seen: while half of the servers are cut off for 6 and 3 s, requests that had timed out and were repeated elsewhere still arrived and ran when the links healed: a repeat is charged when it is sent, the request that it replaces counts as the repeat seconds later. Cause: the connection was closed in order, so the system went on delivering what it held.

The test failed before: closed instead of ECONNRESET.

--- a/packages/gateway/src/targets/__tests__/attempt.test.ts
+++ b/packages/gateway/src/targets/__tests__/attempt.test.ts
@@ -1,7 +1,7 @@
 /** Which responses are accepted as statements of the target about itself. */
 import type { AddressInfo } from 'node:net';
 import { createServer } from 'node:net';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it, vi } from 'vitest';
 import { beginSend } from '../__fixtures__/send';
 import { TargetConnections } from '../connections';
 import { IdleLimit } from '../idleLimit';
@@ -41,6 +41,30 @@
 
 afterEach(() => closing.splice(0).forEach((close) => close()));
 
+describe('a send that is given up', () => {
+  it('resets its connection, so that the request does not arrive when a cut link heals', async () => {
+    // Guards against requests that run seconds after their repeat was answered.
+    const ends: string[] = [];
+    const server = createServer((socket) => {
+      socket.resume();
+      socket.on('end', () => ends.push('closed'));
+      socket.on('error', ({ code }: NodeJS.ErrnoException) => ends.push(String(code)));
+    });
+    closing.push(() => server.close());
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const connections = new TargetConnections(2, now, new IdleLimit());
+    const { port } = server.address() as AddressInfo;
+    const { cancel, isConnected } = beginSend(port, connections);
+    await vi.waitUntil(isConnected);
+    cancel('timeout');
+    await vi.waitUntil(() => ends.length > 0);
+    expect(ends).toEqual(['ECONNRESET']);
+    connections.destroy();
+  });
+});
+
 describe('the statement of a target', () => {
   it('is taken from all of its own responses and from no others', async () => {
     // Guards against statements that are read from complete successes only, or accepted from another target.
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -131,13 +131,19 @@
   let request: ClientRequest;
   const timer = setTimeout(() => finish({ kind: 'lost', reason: 'timeout' }), options.timeoutMs);
 
+  function abort(): void {
+    // After an orderly close the system would still deliver the request once a cut link heals.
+    if (connected) request.socket?.resetAndDestroy();
+    request.destroy();
+  }
+
   function finish(result: AttemptOutcome): void {
     if (settled) return;
     settled = true;
     clearTimeout(timer);
     clearTimeout(connectTimer);
-    if (result.kind === 'lost' || (result.kind === 'not-run' && result.reason === 'unreachable'))
-      request.destroy();
+    const isUnreachable = result.kind === 'not-run' && result.reason === 'unreachable';
+    if (result.kind === 'lost' || isUnreachable) abort();
     // Nothing has been sent if the connection was never established.
     resolveOutcome(
       result.kind === 'lost' && !connected ? { kind: 'not-run', reason: 'unreachable' } : result,
