--- a/packages/load/src/__fixtures__/retryPlays.ts
+++ b/packages/load/src/__fixtures__/retryPlays.ts
@@ -21,6 +21,13 @@
   'all instances killed': killsOf([25_000]),
   'all killed six times in 7.5 s': killsOf([25_000, 26_500, 28_000, 29_500, 31_000, 32_500]),
   'half of them killed every 2 s': killsOf([24_000, 26_000, 28_000, 30_000, 32_000], 0.5),
+  'one instance killed every 1.5 s': () => ({
+    kills: [24_000, 25_500, 27_000, 28_500, 30_000, 31_500].map((at) => ({
+      at,
+      count: 1,
+      downMs: DOWN_MS,
+    })),
+  }),
   'targets begin to fail a second before all are killed': (instances) => ({
     ...killsOf([25_000])(instances),
     failing: [{ from: 24_000, to: 60_000, share: 1 }],
