Repeats earned in the whole window may be spent, once the store has a note of it

Cause: with repeats valid for 1.5 s the bound held, but an instance had a seventh of the repeats that it had before at the moment in which targets shed requests.

Change: repeats earned earlier in the window may be spent while the store has this instance's note of it, renewed every 4 s; a process that starts reads the note of its earlier life at its first repeat and earns nothing until those repeats lie a window back, or until a window after its start if it cannot read. What one life sends stays within its own window as well.

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -103,6 +103,7 @@
     self: self.id,
     crashes: createCrashDetector(components, reach),
     retriesOf: createRetryBudgets({
+      self: self.id,
       bounds: () => settings().bounds,
       store,
       fleetSize: () => fleet.size(),
--- a/packages/gateway/src/requests/retryBudgets.ts
+++ b/packages/gateway/src/requests/retryBudgets.ts
@@ -2,7 +2,7 @@
 import type { InstanceSettings } from '@cardamomladder/settings';
 import { RetryBudget } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
-import type { ServiceName } from '@cardamomladder/types';
+import type { InstanceId, ServiceName } from '@cardamomladder/types';
 import { sleep } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { RepeatDecision } from './repeatCounts';
@@ -28,6 +28,7 @@
 
 /** Dependencies of the budgets. */
 export interface RetryBudgetOptions {
+  self: InstanceId;
   bounds: () => InstanceSettings['bounds'];
   store: ClaimStore;
   fleetSize: () => number;
@@ -39,22 +40,23 @@
 const createServiceRetries = (
   service: ServiceName,
   startedAt: number,
-  { bounds, store, fleetSize, metrics, log, now }: RetryBudgetOptions,
+  { self, bounds, store, fleetSize, metrics, log, now }: RetryBudgetOptions,
 ): ServiceRetries => {
   const { repeatRatio, repeatExtra, repeatWindowSeconds } = bounds();
   const windowMs = repeatWindowSeconds * MS_PER_SECOND;
   const bound = { ratio: repeatRatio, extra: repeatExtra, windowMs };
   const budget = new RetryBudget(bound, Math.random);
   const reserve = createRetryReserve({
+    self,
     service,
     bound,
+    budget,
     store,
     fleetSize,
     random: Math.random,
     log,
     now,
     unixNow: Date.now,
-    onClaimed: (repeats, until) => budget.addClaimed(repeats, until),
   });
   const counts = new RepeatCounts(service, windowMs, startedAt, (second) =>
     log.write('repeats', undefined, { ...second, fleetSize: fleetSize() }),
@@ -71,7 +73,8 @@
   let waiting = 0;
   const withdrawClaimed = async (until: number): Promise<boolean> => {
     for (;;) {
-      const replenished = now() < until ? reserve.replenish(waiting) : undefined;
+      const wanted = { count: waiting, earlier: budget.hasEarlier(now()) };
+      const replenished = now() < until ? reserve.replenish(wanted) : undefined;
       if (!replenished) return false;
       await Promise.race([replenished, sleep(until - now())]);
       if (tryWithdraw()) return true;
--- a/packages/load/src/simulation/retries/retryStrategies.ts
+++ b/packages/load/src/simulation/retries/retryStrategies.ts
@@ -2,6 +2,7 @@
 import type { RepeatBound } from '@cardamomladder/steering';
 import {
   CLAIM_VALID_MS,
+  NOTE_VALID_MS,
   RetryBudget,
   RetryClaims,
   SlidingWindowCounter,
@@ -50,7 +51,7 @@
 
 /** The simulated store: one service's claims by slot. */
 class ClaimStore {
-  readonly claims = new Map<number, SlotClaim>();
+  readonly claims = new Map<string, SlotClaim>();
 
   private revision = 0;
 
@@ -78,10 +79,13 @@
 const claimingLife = (
   { bound, events, random, storeAnswers, countStoreCall, knownInstances }: RetryContext,
   store: ClaimStore,
+  instance: number,
 ): RetryLife => {
   const startedAt = events.now;
   const budget = new RetryBudget(bound, random);
-  const claims = new RetryClaims(bound, random, () => knownInstances(startedAt));
+  const fleetSize = () => knownInstances(startedAt);
+  const claims = new RetryClaims(bound, random, fleetSize, `note-${instance}`, startedAt);
+  budget.allowEarned(claims.earnedFrom);
   let waiting: (() => void)[] = [];
   let busy = false;
   const call = (onAnswer: (() => void) | undefined): void => {
@@ -100,17 +104,19 @@
   };
   const step = (): boolean => {
     if (busy) return true;
-    const next = claims.next(waiting.length + 1, events.now);
+    const wanted = { count: waiting.length + 1, earlier: budget.hasEarlier(events.now) };
+    const next = claims.next(wanted, events.now);
     if (!next) return false;
     busy = true;
     countStoreCall(next.kind === 'read' ? 'read' : 'write');
     if (next.kind === 'read') {
-      call(() =>
+      call(() => {
         claims.recordRead([...store.claims.values()], {
           monotonic: events.now,
           unix: STARTED_AT_UNIX + events.now,
-        }),
-      );
+        });
+        budget.allowEarned(claims.earnedFrom);
+      });
       return true;
     }
     const sentAt = events.now;
@@ -121,6 +127,11 @@
         claims.recordConflict(events.now);
         return;
       }
+      if (next.kind === 'note') {
+        claims.recordNoted(revision);
+        budget.allowEarlier(sentAt + NOTE_VALID_MS);
+        return;
+      }
       claims.recordClaimed(slots, revision, events.now);
       budget.addClaimed(slots.length * claims.repeatsPerSlot, sentAt + CLAIM_VALID_MS);
     });
@@ -137,5 +148,5 @@
 /** Requests earn repeats for a short time; the fixed number is claimed from the store. */
 export const earnedAndClaimed: RetryStrategy = (context) => {
   const store = new ClaimStore();
-  return () => claimingLife(context, store);
+  return (instance) => claimingLife(context, store, instance);
 };
--- a/packages/steering/src/placement/__tests__/retryClaims.test.ts
+++ b/packages/steering/src/placement/__tests__/retryClaims.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import type { ClaimableSlot, SlotClaim } from '@cardamomladder/types';
 import { describe, expect, it } from 'vitest';
-import { CLAIM_VALID_MS, RetryClaims } from '../retryClaims';
+import { CLAIM_VALID_MS, NOTE_VALID_MS, RetryClaims } from '../retryClaims';
 
 const BOUND = { ratio: 0.2, extra: 56, windowMs: 10_000 };
 const UNIX = 1e12;
@@ -14,7 +14,7 @@
 
 /** A store whose answers may be lost; a claim is written all the same. */
 class LossyStore {
-  readonly claims = new Map<number, SlotClaim>();
+  readonly claims = new Map<string, SlotClaim>();
 
   private revision = 0;
 
@@ -36,7 +36,7 @@
   now: number,
   isLost: boolean,
 ): GrantedRepeats | undefined => {
-  const next = claims.next(30, now);
+  const next = claims.next({ count: 30, earlier: false }, now);
   if (!next) return undefined;
   if (next.kind === 'read') {
     claims.recordRead([...store.claims.values()], { monotonic: now, unix: UNIX + now });
@@ -70,6 +70,8 @@
             BOUND,
             () => 0.3,
             () => 5,
+            'note-i',
+            0,
           );
         const instances = Array.from({ length: 5 }, start);
         const granted: GrantedRepeats[] = [];
@@ -95,13 +97,15 @@
     // Guards against a restart that costs repeats which the bound allows.
     const store = new LossyStore();
     store.claim(
-      [0, 1, 2, 3].map((slot) => ({ slot, revision: 0 })),
+      ['0', '1', '2', '3'].map((slot) => ({ slot, revision: 0 })),
       -120_000,
     );
     const claims = new RetryClaims(
       BOUND,
       () => 0,
       () => 1,
+      'note-i',
+      0,
     );
     step(claims, store, 0, false);
     const granted = Array.from(
@@ -111,15 +115,40 @@
     expect(granted.reduce((a, b) => a + b)).toBeGreaterThan(0.9 * BOUND.extra);
   });
 
+  it('leave earned repeats to a new life only when those of its earlier life lie a window back', () => {
+    // Guards against a process that spends a window's worth again after a kill.
+    const store = new LossyStore();
+    const start = (now: number) =>
+      new RetryClaims(
+        BOUND,
+        () => 0,
+        () => 1,
+        'note-i',
+        now,
+      );
+    const read = (claims: RetryClaims, now: number) => {
+      claims.recordRead([...store.claims.values()], { monotonic: now, unix: UNIX + now });
+      return claims.earnedFrom;
+    };
+    expect(start(0).earnedFrom).toBe(BOUND.windowMs + NOTE_VALID_MS);
+    expect(read(start(0), 5)).toBe(5);
+    store.claim([{ slot: 'note-i', revision: 0 }], 1000);
+    store.claim([{ slot: 'note-other', revision: 0 }], 3000);
+    expect(read(start(4000), 4005)).toBe(1000 + BOUND.windowMs + NOTE_VALID_MS);
+    expect(read(start(60_000), 60_005)).toBe(60_005);
+  });
+
   it('are paused while the store does not answer, for longer each time', () => {
     // Guards against callers that wait for the store at every retry.
     const claims = new RetryClaims(
       BOUND,
       () => 0,
       () => 1,
+      'note-i',
+      0,
     );
     const asked = Array.from({ length: 200 }, (_, i) => i * 100).filter((now) => {
-      if (!claims.next(1, now)) return false;
+      if (!claims.next({ count: 1, earlier: false }, now)) return false;
       claims.recordUnavailable(now);
       return true;
     });
--- a/packages/steering/src/placement/__tests__/shares.test.ts
+++ b/packages/steering/src/placement/__tests__/shares.test.ts
@@ -35,6 +35,10 @@
         (events) => {
           const bound = { ratio: 0.2, extra: 58, windowMs: 10_000 };
           const budgets = names(9).map(() => new RetryBudget(bound, () => 0.5));
+          budgets.forEach((budget) => {
+            budget.allowEarned(0);
+            budget.allowEarlier(Infinity);
+          });
           let requests = 0;
           let repeats = 0;
           events.forEach(([at, wantsRepeat], i) => {
--- a/packages/steering/src/placement/retryBudget.ts
+++ b/packages/steering/src/placement/retryBudget.ts
@@ -4,20 +4,21 @@
  * is a ratio of the service's requests plus a fixed number per window, for all
  * instances together.
  *
- * Each request earns a part of a repeat that is valid for a short time, so that repeats
- * follow the requests of their own window, whatever earlier lives of a process have
- * sent. The fixed number is claimed in parts from the whole fleet's supply (see
- * `RetryClaims`). Nothing is there at the start of a process that another one may have
- * spent, and nothing depends on how many instances there are.
+ * Each request earns a part of a repeat. For a short time it may be spent at once, so
+ * that repeats follow the requests of their own window, whatever earlier lives of a
+ * process have sent. For the rest of the window it may be spent only while the store has
+ * this instance's note of it; the next life of the process then earns nothing until those
+ * repeats lie a window back. The fixed number is claimed in parts from the whole fleet's
+ * supply. See `RetryClaims` for both.
  */
 import { SlidingWindowCounter } from './slidingWindowCounter';
 
 /** Fraction of the ratio that is earned; the rest covers repeats that are earned before a window and sent in it. */
-const EARNED_FRACTION = 0.85;
+const EARNED_FRACTION = 0.84;
 /** The same for an instance that earns less than one repeat per window: by chance, many of a large fleet earn theirs in the same window. */
 const EARNED_FRACTION_AT_FEW_REQUESTS = 0.75;
-/** Fraction of the window during which an earned repeat is valid. */
-const VALIDITY_FRACTION = 0.15;
+/** Fraction of the window during which an earned repeat may be spent at once. */
+const RECENT_FRACTION = 0.15;
 
 /** The fleet-wide bound on repeats per service. */
 export interface RepeatBound {
@@ -37,34 +38,46 @@
 
 /** The retry budget of one service at this instance. Times are in ms on the monotonic clock. */
 export class RetryBudget {
-  /** Until when each earned repeat is valid, in ascending order. */
-  private readonly earned: number[] = [];
+  /** When each unspent repeat was earned, in ascending order. */
+  private earned: number[] = [];
 
   private claimed: ClaimedRepeats[] = [];
 
   private readonly requests: SlidingWindowCounter;
 
+  private readonly repeats: SlidingWindowCounter;
+
+  /** Earned repeats are withheld until then: at first, it is unknown what the last life has spent. */
+  private earnedFrom = Infinity;
+
+  /** Repeats earned earlier in the window may be spent until then. */
+  private earlierUntil = -Infinity;
+
   /**
    * The part of the next repeat that has been earned. It starts at random: the many lives
    * and instances that get few requests earn the ratio on average, none is favoured.
    */
   private part: number;
 
+  private readonly initialPart: number;
+
   constructor(
     private readonly bound: RepeatBound,
     random: () => number,
   ) {
-    this.part = random();
+    this.initialPart = random();
+    this.part = this.initialPart;
     this.requests = new SlidingWindowCounter(bound.windowMs);
+    this.repeats = new SlidingWindowCounter(bound.windowMs);
   }
 
   /** Counts a caller's request for the service. */
   deposit(now: number): void {
-    const { ratio, windowMs } = this.bound;
+    const { ratio } = this.bound;
     this.requests.add(now);
-    const hasFew = ratio * this.requests.total(now) < 1;
-    this.part += ratio * (hasFew ? EARNED_FRACTION_AT_FEW_REQUESTS : EARNED_FRACTION);
-    for (; this.part >= 1; this.part -= 1) this.earned.push(now + VALIDITY_FRACTION * windowMs);
+    const fraction = this.hasFewRequests(now) ? EARNED_FRACTION_AT_FEW_REQUESTS : EARNED_FRACTION;
+    this.part += ratio * fraction;
+    for (; this.part >= 1; this.part -= 1) this.earned.push(now);
   }
 
   /** Adds repeats that were claimed from the fleet's supply. */
@@ -72,13 +85,62 @@
     this.claimed.push({ left: repeats, until });
   }
 
+  /** Allows earned repeats to be spent from then on. */
+  allowEarned(from: number): void {
+    this.earnedFrom = from;
+  }
+
+  /** Allows repeats that were earned earlier in the window to be spent until then. */
+  allowEarlier(until: number): void {
+    this.earlierUntil = until;
+  }
+
+  /** True if there is a repeat that was earned earlier and may not be spent yet. */
+  hasEarlier(now: number): boolean {
+    return (
+      now >= this.earnedFrom &&
+      now > this.earlierUntil &&
+      !this.hasFewRequests(now) &&
+      this.isWithinWindow(now) &&
+      this.unspent(now).length > 0
+    );
+  }
+
   /** Takes one repeat from the budget if there is one. */
   tryWithdraw(now: number): boolean {
-    while (this.earned.length > 0 && this.earned[0] < now) this.earned.shift();
-    if (this.earned.shift() !== undefined) return true;
+    if (now >= this.earnedFrom && this.takeEarned(now)) return true;
     this.claimed = this.claimed.filter(({ left, until }) => left > 0 && until >= now);
     if (this.claimed.length === 0) return false;
     this.claimed[0].left -= 1;
     return true;
   }
+
+  private takeEarned(now: number): boolean {
+    const hasFew = this.hasFewRequests(now);
+    if (!hasFew && !this.isWithinWindow(now)) return false;
+    const { windowMs } = this.bound;
+    const mayBeEarlier = !hasFew && now <= this.earlierUntil;
+    const since = mayBeEarlier ? -Infinity : now - RECENT_FRACTION * windowMs;
+    const index = this.unspent(now).findIndex((at) => at >= since);
+    if (index < 0) return false;
+    this.earned.splice(index, 1);
+    this.repeats.add(now);
+    return true;
+  }
+
+  private unspent(now: number): number[] {
+    const since = now - this.bound.windowMs;
+    while (this.earned.length > 0 && this.earned[0] < since) this.earned.shift();
+    return this.earned;
+  }
+
+  /** True if one more earned repeat stays within what the requests of this life's window allow. */
+  private isWithinWindow(now: number): boolean {
+    const allowed = EARNED_FRACTION * this.bound.ratio * this.requests.total(now);
+    return this.repeats.total(now) + 1 <= allowed + this.initialPart;
+  }
+
+  private hasFewRequests(now: number): boolean {
+    return this.bound.ratio * this.requests.total(now) < 1;
+  }
 }
--- a/packages/steering/src/placement/retryClaims.ts
+++ b/packages/steering/src/placement/retryClaims.ts
@@ -6,13 +6,25 @@
  * window back, so no window holds more than the fixed number, however often instances
  * are killed, lose the store or disagree on the size of the fleet.
  *
+ * The store also keeps each instance's note that it spends repeats which were earned
+ * earlier in the window. A process that starts finds the note of its earlier life, and
+ * earns nothing until those repeats lie a window back. Until it has read the notes, it
+ * assumes the worst.
+ *
  * This class decides; the caller reads and writes the store.
  */
 import type { ClaimableSlot, SlotClaim } from '@cardamomladder/types';
 import type { RepeatBound } from './retryBudget';
 
-/** What to do next: read the service's claims, or claim slots. */
-export type ClaimStep = { kind: 'read' } | { kind: 'claim'; slots: ClaimableSlot[] };
+/** What to do next: read the service's claims, claim slots, or note that earlier repeats are spent. */
+export type ClaimStep = { kind: 'read' } | { kind: 'claim' | 'note'; slots: ClaimableSlot[] };
+
+/** The repeats that an instance looks for. */
+export interface WantedRepeats {
+  count: number;
+  /** Repeats that were earned earlier would serve. */
+  earlier: boolean;
+}
 
 /** Monotonic time and time of day, ms. */
 export interface ClaimClock {
@@ -22,8 +34,10 @@
 
 /** How long claimed repeats may be spent, ms. */
 export const CLAIM_VALID_MS = 2000;
+/** How long repeats that were earned earlier may be spent after a note, ms. */
+export const NOTE_VALID_MS = 4000;
 /** Fraction of the fixed number that can be claimed; the rest covers what is sent before a window and arrives in it. */
-const CLAIMED_FRACTION = 0.95;
+const CLAIMED_FRACTION = 0.92;
 /** Maximum number of slots that the fixed number is split into; a slot of one repeat wastes none. */
 const MAX_SLOTS = 64;
 /** Maximum number of slots in one claim: a transaction of the store holds few conditions and writes. */
@@ -53,12 +67,22 @@
 
   private readonly slotCount: number;
 
-  private known = new Map<number, KnownClaim>();
+  private known = new Map<string, KnownClaim>();
+
+  /** Revision of this instance's note; undefined before the first read. */
+  private noteRevision: number | undefined;
+
+  /** Earned repeats may be spent from then on, ms. */
+  earnedFrom: number;
 
   private readAt = -Infinity;
 
   private pausedUntil = -Infinity;
 
+  private noneFreeUntil = -Infinity;
+
+  private hasRead = false;
+
   private unavailablePauseMs = UNAVAILABLE_PAUSE_MS;
 
   private conflicts = 0;
@@ -68,35 +92,46 @@
     private readonly random: () => number,
     /** Number of instances; only to spread their calls and to claim ahead. */
     private readonly fleetSize: () => number,
+    /** Name of this instance's note; the same for all lives of an instance. */
+    private readonly noteName: string,
+    startedAt: number,
   ) {
+    this.earnedFrom = startedAt + this.forgottenAfterMs;
     const repeats = CLAIMED_FRACTION * bound.extra;
     this.repeatsPerSlot = Math.max(1, Math.ceil(repeats / MAX_SLOTS));
     this.slotCount = Math.floor(repeats / this.repeatsPerSlot);
   }
 
   /** Returns the next step towards `wanted` repeats; undefined if none is worthwhile now. */
-  next(wanted: number, now: number): ClaimStep | undefined {
-    if (this.slotCount === 0 || now < this.pausedUntil) return undefined;
+  next({ count, earlier }: WantedRepeats, now: number): ClaimStep | undefined {
+    if (now < this.pausedUntil) return undefined;
+    if (this.noteRevision === undefined) return { kind: 'read' };
+    if (earlier)
+      return { kind: 'note', slots: [{ slot: this.noteName, revision: this.noteRevision }] };
+    if (this.slotCount === 0 || now < this.noneFreeUntil) return undefined;
     if (now - this.readAt > READ_VALID_MS) return { kind: 'read' };
     const free = this.freeSlots(now);
     if (free.length === 0) {
       this.pauseUntilFree(now);
       return undefined;
     }
-    const wantedSlots = Math.ceil(wanted / this.repeatsPerSlot);
+    const wantedSlots = Math.ceil(count / this.repeatsPerSlot);
     const evenShare = Math.floor(this.slotCount / this.fleetSize());
-    const count = Math.min(
+    const slotsToClaim = Math.min(
       Math.max(wantedSlots, evenShare),
       MAX_SLOTS_PER_CLAIM,
       Math.ceil(free.length / 2),
     );
-    return { kind: 'claim', slots: this.drawFrom(free, count) };
+    return { kind: 'claim', slots: this.drawFrom(free, slotsToClaim) };
   }
 
   /** Records the claims that a read returned. */
   recordRead(claims: readonly SlotClaim[], { monotonic, unix }: ClaimClock): void {
     const previous = this.known;
     this.known = new Map();
+    if (!this.hasRead) this.applyNote(claims, { monotonic, unix });
+    this.hasRead = true;
+    this.noteRevision = claims.find(({ slot }) => slot === this.noteName)?.revision ?? 0;
     claims.forEach(({ slot, revision, claimedAt }) => {
       const seen = previous.get(slot);
       const seenAt = seen?.revision === revision ? seen.seenAt : monotonic;
@@ -114,9 +149,15 @@
     this.unavailablePauseMs = UNAVAILABLE_PAUSE_MS;
   }
 
-  /** Records that another instance has claimed one of the slots. */
+  /** Records that this instance's note was written. */
+  recordNoted(revision: number): void {
+    this.noteRevision = revision;
+  }
+
+  /** Records that a claim or note was written by another instance or life since the last read. */
   recordConflict(now: number): void {
     this.readAt = -Infinity;
+    this.noteRevision = undefined;
     this.conflicts += 1;
     if (this.conflicts < 2) return;
     this.conflicts = 0;
@@ -133,19 +174,33 @@
   /** Makes all slots wait for a whole window, as claims may have been lost with the store's history. */
   recordLostHistory(now: number): void {
     this.readAt = -Infinity;
-    this.pausedUntil = now + this.reclaimAfterMs;
+    this.noneFreeUntil = now + this.reclaimAfterMs;
   }
 
   private get reclaimAfterMs(): number {
     return this.bound.windowMs + CLAIM_VALID_MS;
   }
 
+  /** How long after its start a process needs not know what its earlier life spent, ms. */
+  private get forgottenAfterMs(): number {
+    return this.bound.windowMs + NOTE_VALID_MS;
+  }
+
+  /** Withholds earned repeats while those of the earlier life's note lie within the window. */
+  private applyNote(claims: readonly SlotClaim[], { monotonic, unix }: ClaimClock): void {
+    const note = claims.find(({ slot }) => slot === this.noteName);
+    const ageMs = note ? Math.max(0, unix - note.claimedAt) : Infinity;
+    const from = monotonic + Math.max(0, this.forgottenAfterMs - ageMs);
+    this.earnedFrom = Math.min(this.earnedFrom, from);
+  }
+
   private get spreadMs(): number {
     return this.fleetSize() * SPREAD_PER_INSTANCE_MS;
   }
 
   private freeSlots(now: number): ClaimableSlot[] {
-    return Array.from({ length: this.slotCount }, (_, slot) => {
+    return Array.from({ length: this.slotCount }, (_, i) => {
+      const slot = String(i);
       const { revision, seenAt } = this.known.get(slot) ?? { revision: 0, seenAt: -Infinity };
       return { slot, revision, isFree: now - seenAt >= this.reclaimAfterMs };
     })
@@ -159,8 +214,11 @@
   }
 
   private pauseUntilFree(now: number): void {
-    const seenAt = [...this.known.values()].map((claim) => claim.seenAt);
+    const seenAt = Array.from(
+      { length: this.slotCount },
+      (_, i) => this.known.get(String(i))?.seenAt ?? now,
+    );
     const freeAt = Math.min(...seenAt) + this.reclaimAfterMs;
-    this.pausedUntil = Math.max(now, freeAt) + this.random() * this.spreadMs;
+    this.noneFreeUntil = Math.max(now, freeAt) + this.random() * this.spreadMs;
   }
 }
--- a/packages/types/src/retryClaims.ts
+++ b/packages/types/src/retryClaims.ts
@@ -1,6 +1,10 @@
-/** A claim of one slot of the repeats that all instances share, as the store has it. */
+/**
+ * A claim in the store: of one slot of the repeats that all instances share, or an
+ * instance's note that it spends what earlier requests have earned.
+ */
 export interface SlotClaim {
-  slot: number;
+  /** Name of the slot. */
+  slot: string;
   /** Store revision of the claim. */
   revision: number;
   /** When it was claimed, by the clock of the claiming instance (Unix time, ms). */
