Limits among advertised instances are not divided by all members after a start

Cause: divided announced limits and quotas by all members of the fleet for 6 s after a start, though only the advertised instances share them.

--- a/packages/gateway/src/lifecycle/advertisedInstances.ts
+++ b/packages/gateway/src/lifecycle/advertisedInstances.ts
@@ -77,7 +77,6 @@
 
   private computeSharers(): SharingInstances {
     const ids = [...this.advertised, ...this.recentlyRemoved.ids()];
-    const assumed = this.settled ? 1 : Math.max(ASSUMED_FLEET_SIZE, this.clusterState.members.size);
-    return { ids, size: Math.max(assumed, ids.length) };
+    return { ids, size: Math.max(this.settled ? 1 : ASSUMED_FLEET_SIZE, ids.length) };
   }
 }
