--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -30,12 +30,13 @@
   { zone: 'aey-a', region: 'akureyri' },
   { zone: 'egs-a', region: 'egilsstadir' },
 ];
-const UPSTREAMS = 36;
-const CLIENTS = 60;
-/** One client in four keeps directory responses for three times their TTL. */
-const PATIENT_EVERY = 4;
+const UPSTREAMS = 48;
+const CLIENTS = 150;
+/** One client in 25 keeps directory responses for three times their TTL (`patient = 0.04` in the site file). */
+const PATIENT_EVERY = 25;
 const PATIENT_FACTOR = 3;
-const SEND_INTERVAL_MS = 1000;
+/** Clients differ in how much they send; those that keep responses for long are busy ones. */
+const SEND_INTERVAL_MS = { patient: 200, others: 3300 };
 const WARM_UP_MS = 8000;
 /** Pause between the restart of an instance and the stop of the next one. */
 const GAP_MS = 1000;
@@ -90,7 +91,7 @@
     req.end();
   });
 
-/** A caller: asks the directory where to connect, keeps connections open, sends a booking a second. */
+/** A caller: asks the directory where to connect, keeps connections open and sends bookings. */
 const startClient = ({ name, home, directories, isPatient, requests, record }) => {
   const agents = new Map();
   const known = { addresses: [], until: 0 };
@@ -161,11 +162,12 @@
     });
     req.end('book');
   };
+  const intervalMs = isPatient ? SEND_INTERVAL_MS.patient : SEND_INTERVAL_MS.others;
   const timers = [];
   timers.push(
     setTimeout(() => {
-      timers.push(setInterval(() => send().catch(() => {}), SEND_INTERVAL_MS));
-    }, Math.random() * SEND_INTERVAL_MS),
+      timers.push(setInterval(() => send().catch(() => {}), intervalMs));
+    }, Math.random() * intervalMs),
   );
   return {
     stop: () => timers.forEach((timer) => clearInterval(timer)),
@@ -239,7 +241,7 @@
       const killed = setTimeout(() => running.child.kill('SIGKILL'), GRACE_MS);
       const { code, at } = await running.exited;
       clearTimeout(killed);
-      stop.endedAt = at;
+      await running.stop();
       record.add(
         `${running.id} ended with ${code}, ${Math.round(at - stop.at)} ms after its SIGTERM`,
       );
--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -24,6 +24,17 @@
   const record = createRecord(folder);
   const withTrouble = process.env.TROUBLE !== '0';
   const cleanUps = [];
+  const finish = async (code) => {
+    for (const end of cleanUps.splice(0).reverse()) await end();
+    await record.save();
+    process.exit(code);
+  };
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) =>
+    process.once(signal, () => {
+      record.add(`ended by ${signal}`);
+      finish(2);
+    }),
+  );
   let code = 2;
   try {
     const broken = await play({ record, withTrouble, onEnd: (end) => cleanUps.push(end) });
@@ -37,7 +48,5 @@
     record.add(`could not run: ${error.stack}`);
     console.error(error);
   }
-  for (const end of cleanUps.reverse()) await end();
-  await record.save();
-  process.exit(code);
+  await finish(code);
 };
