--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -19,6 +19,10 @@
 const READY_TIMEOUT_MS = 20_000;
 const READY_POLL_MS = 50;
 
+/** Processes that run; none outlives the script, however it ends. */
+const children = new Set();
+process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+
 const freePort = () =>
   new Promise((resolve, reject) => {
     const server = createServer();
@@ -102,6 +106,8 @@
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { PATH, HOME, LANG, CARDAMOMLADDER_NODE_FILE: file },
   });
+  children.add(child);
+  child.once('exit', () => children.delete(child));
   let output = '';
   [child.stdout, child.stderr].forEach((stream) =>
     stream.on('data', (chunk) => {
