Log the requests that end with a planned stop

The line of a stop told only how many requests were unanswered. It now names them, with their arrival after the signal and the time that they were open, so that requests that were accepted too late can be told from requests that the targets left unanswered.

--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -11,6 +11,8 @@
 const POLL_INTERVAL_MS = 50;
 /** If no request is in progress for this long in the `refusing` phase, the shutdown ends early, ms. */
 const QUIET_PERIOD_MS = 300;
+/** Number of cut requests that are logged. */
+const MAX_CUT_LOGGED = 20;
 
 /** Dependencies of the shutdown. */
 export interface StopOptions {
@@ -36,6 +38,14 @@
   return 'out-of-time';
 };
 
+/** The requests that end with the process, for the log: when they arrived after the signal, and how long they were open. */
+const describeCut = ({ connections, now }: StopOptions, signalledAt: number) =>
+  connections.unansweredRequests.slice(0, MAX_CUT_LOGGED).map(({ id, arrivedAt }) => ({
+    id,
+    arrivedMs: Math.round(arrivedAt - signalledAt),
+    openMs: Math.round(now() - arrivedAt),
+  }));
+
 /** Leaves the directory, keeps serving for a time, then rejects new requests and waits for the rest to finish. */
 export const stopGracefully = async (options: StopOptions): Promise<void> => {
   const { phase, registration, connections, graceMs, log, now } = options;
@@ -52,6 +62,7 @@
     event: 'stopped',
     ended,
     unanswered: connections.unanswered,
+    cut: describeCut(options, startedAt),
     ms: Math.round(now() - startedAt),
   });
 };
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -13,20 +13,42 @@
   closing?: boolean;
 }
 
+/** A request whose response is not complete. */
+export interface UnansweredRequest {
+  id: string | undefined;
+  /** Monotonic clock, ms. */
+  arrivedAt: number;
+}
+
 /** Tracks the requests of all caller connections. */
 export class CallerConnections {
-  /** Requests whose response is not complete. */
-  unanswered = 0;
+  private readonly open = new Set<UnansweredRequest>();
+
+  constructor(
+    private readonly idOf: (req: IncomingMessage) => string | undefined,
+    private readonly now: () => number,
+  ) {}
+
+  /** Number of requests whose response is not complete. */
+  get unanswered(): number {
+    return this.open.size;
+  }
+
+  /** These requests, in order of arrival. */
+  get unansweredRequests(): UnansweredRequest[] {
+    return [...this.open];
+  }
 
   /** Counts a request; returns false if its connection is already closing and the request must not be served. */
   trackRequest(req: IncomingMessage, res: ServerResponse): boolean {
     const socket = req.socket as CallerSocket;
     if (socket.closing) return false;
+    const request = { id: this.idOf(req), arrivedAt: this.now() };
     socket.unanswered = (socket.unanswered ?? 0) + 1;
-    this.unanswered += 1;
+    this.open.add(request);
     res.once('close', () => {
       socket.unanswered = (socket.unanswered ?? 1) - 1;
-      this.unanswered -= 1;
+      this.open.delete(request);
     });
     return true;
   }
