A request that Node.js refuses to send ends alone, and names are sent in UTF-8

What callers saw: each request of a customer whose name has a character beyond Latin-1 got a 502, and ended the process that had taken it 3 s later, with exit code 1.

Cause: sendAttempt() started its timer, and startSend() its counts, before http.request() was called, which throws for such a header. The exception was handled, what had begun was not undone: the timer then called destroy() on a request that did not exist, outside of any handler. Names were put into the header unchecked. Ruled out: the exception itself, which is answered with a 502.

Change: the request is created first, with its headers, and only then does anything begin that has to end. If it can't be created, the send ends as not run ("unsendable"): the count at the target, the permit of a cold target, the place in the target's rate limit and the repeat are given back, and nothing is concluded about the target. An exception anywhere else in a request ends that request only, also for requests that wait for a slot, which are sent from timers. A response with a status below 100 counts as garbled, as it can't be passed on. Names are sent in UTF-8; control characters, which a header can't hold, are percent-encoded.

Why it works: nothing outlives a send that never began, whatever Node.js refuses, and names of all characters can be sent.

--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -196,32 +196,45 @@
     const state = this.stateOf(execution.request.service);
     const since = now();
     metrics.waitingRequests.inc();
-    return new Promise((resolve) => {
-      const end = (outcome: 'placed' | 'refused' | 'left', admitted: Admitted): void => {
+    return new Promise((resolve, reject) => {
+      const endWait = (outcome: 'placed' | 'refused' | 'left'): void => {
         // eslint-disable-next-line @typescript-eslint/no-use-before-define
         clearTimeout(timeout);
         execution.onAbort(undefined);
         metrics.waitingRequests.dec();
         metrics.waitSeconds.observe({ outcome }, (now() - since) / MS_PER_SECOND);
+      };
+      const end = (outcome: 'placed' | 'refused' | 'left', admitted: Admitted): void => {
+        endWait(outcome);
         resolve(admitted);
       };
+      const tryOnce = (): boolean => {
+        if (execution.quarantined) {
+          end('refused', {
+            kind: 'rejected',
+            reason: 'quarantined',
+            retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
+          });
+          return true;
+        }
+        if (!hasNews(execution)) return false;
+        const first = this.begin(execution, start);
+        if (first.kind === 'rejected' && first.reason === 'full') return false;
+        end(first.kind === 'sent' ? 'placed' : 'refused', first);
+        return true;
+      };
       const refuse = (): void => end('refused', this.refusal(execution, waiting, judgement, since));
       const remove = state.admission.add(
         {
+          // Called from timers, where an exception would end the process.
           retry: () => {
-            if (execution.quarantined) {
-              end('refused', {
-                kind: 'rejected',
-                reason: 'quarantined',
-                retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
-              });
+            try {
+              return tryOnce();
+            } catch (error) {
+              endWait('refused');
+              reject(error instanceof Error ? error : new Error(String(error)));
               return true;
             }
-            if (!hasNews(execution)) return false;
-            const first = this.begin(execution, start);
-            if (first.kind === 'rejected' && first.reason === 'full') return false;
-            end(first.kind === 'sent' ? 'placed' : 'refused', first);
-            return true;
           },
           refuse,
         },
--- a/packages/gateway/src/requests/chooseRetry.ts
+++ b/packages/gateway/src/requests/chooseRetry.ts
@@ -1,5 +1,5 @@
 /** Decides whether a request is sent once more, and where. */
-import type { AttemptOutcome } from '../targets/attempt';
+import type { AttemptOutcome, NotRunReason } from '../targets/attempt';
 import type { Destination } from './destination';
 import { chooseDestination } from './destination';
 import type { RequestExecution } from './requestExecution';
@@ -18,9 +18,12 @@
   return destination;
 };
 
+/** Reasons for which a send put no load on any target. */
+const REACHED_NONE: ReadonlySet<NotRunReason> = new Set(['unreachable', 'cut-off', 'unsendable']);
+
 /** True if the send put no load on any target. */
 export const reachedNoTarget = (outcome: AttemptOutcome): boolean =>
-  outcome.kind === 'not-run' && (outcome.reason === 'unreachable' || outcome.reason === 'cut-off');
+  outcome.kind === 'not-run' && REACHED_NONE.has(outcome.reason);
 
 /** True if the request and its deadline allow a retry after the outcome. */
 const mayRetry = (execution: RequestExecution, outcome: AttemptOutcome): boolean => {
@@ -62,12 +65,18 @@
     retries.countFreeRepeat();
     return consumeRateLimit(destination, execution);
   }
-  if (retries.tryWithdraw()) return consumeRateLimit(destination, execution);
-  if (!(await retries.withdraw())) {
+  const atHand = retries.tryWithdraw();
+  if (atHand) {
+    execution.recordWithdrawal(atHand);
+    return consumeRateLimit(destination, execution);
+  }
+  const withdrawal = await retries.withdraw();
+  if (!withdrawal) {
     ctx.log.write('repeat-refused', request.id, { reason: 'budget', sends });
     return undefined;
   }
   // The targets may have changed meanwhile.
+  execution.recordWithdrawal(withdrawal);
   const later = chooseRetryDestination(execution, outcome);
   return later && consumeRateLimit(later, execution);
 };
--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -52,7 +52,7 @@
     port: peer.port,
     method: request.method,
     path: request.path,
-    headers: forwardHeaders(execution, peer, attempts),
+    headers: () => forwardHeaders(execution, peer, attempts),
     body: request.body,
     requestId: request.id,
     timeoutMs: request.deadlineAt - sentAt,
@@ -64,6 +64,9 @@
   execution.setCurrentAttempt(attempt);
   const outcome = attempt.outcome.then((result) => {
     span.end();
+    execution.endWithdrawal(
+      result.kind === 'not-run' && result.reason === 'unsendable' ? 'unsent' : 'used',
+    );
     const name = result.kind === 'answer' ? 'answer' : result.reason;
     ctx.metrics.forwards.inc({ result: name });
     if (result.kind === 'answer' || result.reason === 'rejected') ctx.peers.recordServing(peer.id);
@@ -75,6 +78,7 @@
       ctx.log.write('forward', request.id, {
         peer: peer.id,
         result: name,
+        problem: result.kind === 'not-run' ? result.problem : undefined,
         ms: Math.round(ctx.now() - sentAt),
       });
     }
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -33,7 +33,7 @@
 import type { CallerRequest } from './callerRequest';
 import type { FairShares } from './fairShares';
 import { callerDigestOf, requestDigestOf } from './digest';
-import type { ServiceRetries } from './retryBudgets';
+import type { ServiceRetries, Withdrawal } from './retryBudgets';
 
 /** Dependencies for handling requests, provided by the instance. */
 export interface ServeContext {
@@ -95,6 +95,8 @@
 
   private currentAttempt: Attempt | undefined;
 
+  private withdrawal: Withdrawal | undefined;
+
   private awaited: AwaitedResponse | undefined;
 
   private endWait: (() => void) | undefined;
@@ -186,6 +188,17 @@
     return this.sends - this.unreachable < maxAttempts && toTargets < maxAttempts + EXTRA_SENDS;
   }
 
+  /** Keeps the repeat that was taken from the budget for the next send. */
+  recordWithdrawal(withdrawal: Withdrawal): void {
+    this.withdrawal = withdrawal;
+  }
+
+  /** Ends the claim on the budget after a send; a repeat that could not be sent is put back. */
+  endWithdrawal(end: 'used' | 'unsent'): void {
+    if (end === 'unsent') this.withdrawal?.refund();
+    this.withdrawal = undefined;
+  }
+
   setCurrentAttempt(attempt: Attempt): void {
     this.currentAttempt = attempt;
   }
@@ -229,4 +242,10 @@
     this.endWait?.();
     this.currentAttempt?.cancel(outcome === 'timed-out' ? 'timeout' : 'cancelled');
   }
+
+  /** Ends the send in progress after an exception. */
+  endEarly(): void {
+    this.ended ??= 'failed';
+    this.currentAttempt?.cancel('cancelled');
+  }
 }
--- a/packages/gateway/src/requests/retryBudgets.ts
+++ b/packages/gateway/src/requests/retryBudgets.ts
@@ -14,6 +14,12 @@
 /** How long a repeat waits for a claim, ms: a read and a write over the longest distance, and once more. */
 const CLAIM_WAIT_MS = 300;
 
+/** A repeat that was taken from the budget. */
+export interface Withdrawal {
+  /** Puts it back, as the repeat could not be sent. */
+  refund: () => void;
+}
+
 /** The repeats of one service at this instance. */
 export interface ServiceRetries {
   /** Counts a caller's request for the service. */
@@ -21,9 +27,9 @@
   /** Counts a repeat that is sent free of charge, since the last send reached no target. */
   countFreeRepeat: () => void;
   /** Takes one repeat if the budget has one at hand. */
-  tryWithdraw: () => boolean;
+  tryWithdraw: () => Withdrawal | undefined;
   /** Takes one repeat, from the fleet's supply if need be; resolves within `CLAIM_WAIT_MS`. */
-  withdraw: () => Promise<boolean>;
+  withdraw: () => Promise<Withdrawal | undefined>;
 }
 
 /** Dependencies of the budgets. */
@@ -65,19 +71,21 @@
     counts.countRepeat(decision, now());
     metrics.retryBudgetRequests.inc({ granted: decision === 'refused' ? 'no' : 'yes' });
   };
-  const tryWithdraw = (): boolean => {
-    const granted = budget.tryWithdraw(now());
-    if (granted) count('granted');
-    return granted;
+  const tryWithdraw = (): Withdrawal | undefined => {
+    const refund = budget.take(now());
+    if (!refund) return undefined;
+    count('granted');
+    return { refund };
   };
   let waiting = 0;
-  const withdrawClaimed = async (until: number): Promise<boolean> => {
+  const withdrawClaimed = async (until: number): Promise<Withdrawal | undefined> => {
     for (;;) {
       const wanted = { count: waiting, earlier: budget.hasEarlier(now()) };
       const replenished = now() < until ? reserve.replenish(wanted) : undefined;
-      if (!replenished) return false;
+      if (!replenished) return undefined;
       await Promise.race([replenished, sleep(until - now())]);
-      if (tryWithdraw()) return true;
+      const withdrawal = tryWithdraw();
+      if (withdrawal) return withdrawal;
     }
   };
   return {
@@ -89,10 +97,10 @@
     tryWithdraw,
     withdraw: async () => {
       waiting += 1;
-      const granted = await withdrawClaimed(now() + CLAIM_WAIT_MS);
+      const withdrawal = await withdrawClaimed(now() + CLAIM_WAIT_MS);
       waiting -= 1;
-      if (!granted) count('refused');
-      return granted;
+      if (!withdrawal) count('refused');
+      return withdrawal;
     },
   };
 };
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one target: sets its headers, tracks load, and records the outcome. */
 import type { OutgoingHttpHeaders } from 'node:http';
 import { SpanKind, context, trace } from '@opentelemetry/api';
+import { toHeaderValue } from '@cardamomladder/http-json';
 import { isIdempotent } from '@cardamomladder/routing';
 import { atUsualPace, lateAfterMs, overdueAfterMs } from '@cardamomladder/steering';
 import { tracer } from '@cardamomladder/telemetry';
@@ -27,17 +28,20 @@
     delete headers[CREDENTIALS_HEADER];
     delete headers[names.customer];
   }
-  if (request.customer) headers[names.customer] = request.customer.name;
+  if (request.customer) headers[names.customer] = toHeaderValue(request.customer.name);
   headers[names.waitMs] = Math.max(1, Math.floor(request.deadlineAt - ctx.now()));
   headers[names.onlyTarget] = target.placed.id;
   if (request.body) headers['content-length'] = request.body.length;
   return headers;
 };
 
+const problemOf = (outcome: AttemptOutcome): string | undefined =>
+  outcome.kind === 'not-run' ? outcome.problem : undefined;
+
 const logSend = (
   execution: RequestExecution,
   { placed }: ReachableTarget,
-  result: string,
+  { name, problem }: { name: string; problem: string | undefined },
   ms: number,
 ): void => {
   const { request, ctx, sends } = execution;
@@ -45,7 +49,8 @@
   ctx.log.write('send', request.id, () => ({
     target: placed.id,
     send: sends,
-    result,
+    result: name,
+    problem,
     ms: Math.round(ms),
     busy: load.ownRequests + load.otherRequests,
     slots: placed.slots,
@@ -65,9 +70,14 @@
   cancel: () => void;
 }
 
+/** True if Node.js refused to send the request, so that the target is not concerned. */
+const isUnsent = (outcome: AttemptOutcome): boolean =>
+  outcome.kind === 'not-run' && outcome.reason === 'unsendable';
+
 /** What an outcome shows about the links of this instance. */
 const sendEndOf = (outcome: AttemptOutcome): SendEnd => {
   if (outcome.kind === 'answer') return 'answered';
+  if (isUnsent(outcome)) return 'unknown';
   if (outcome.reason === 'unreachable' || outcome.reason === 'closed') return 'failed';
   return outcome.reason === 'timeout' || outcome.reason === 'cancelled' ? 'unknown' : 'answered';
 };
@@ -126,7 +136,7 @@
     port: target.port,
     method: request.method,
     path: request.path,
-    headers: sendHeaders(execution, target),
+    headers: () => sendHeaders(execution, target),
     body: request.body,
     requestId: request.id,
     timeoutMs: request.deadlineAt - sentAt,
@@ -141,7 +151,11 @@
     placed.load.ownRequests -= 1;
     watched.end(sendEndOf(result));
     const silent = placed.unanswered.isUnresponsive(ctx.now());
-    endSend(result.kind === 'lost' ? 'lost' : 'answered', ctx.now());
+    const unsent = isUnsent(result);
+    if (unsent && isCold) placed.coldSends.add(sentAt, -1);
+    if (unsent) placed.selfReport.limit.cancelSend(ctx.now());
+    execution.endWithdrawal(unsent ? 'unsent' : 'used');
+    endSend(result.kind === 'lost' || unsent ? 'lost' : 'answered', ctx.now());
     const tookMs = ctx.now() - sentAt;
     if ('load' in result && result.load?.pace !== undefined)
       ctx.registry.forService(request.service).statesPace = true;
@@ -157,7 +171,7 @@
     span.end();
     const name = result.kind === 'answer' ? String(result.status) : result.reason;
     ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
-    if (name !== '200') logSend(execution, target, name, tookMs);
+    if (name !== '200') logSend(execution, target, { name, problem: problemOf(result) }, tookMs);
     return result;
   });
   return {
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -244,6 +244,16 @@
   }
 };
 
+/** Ends a request after an exception; it may have run unless nothing was sent. */
+const fail = (execution: RequestExecution, { message, stack }: Error): ServeOutcome => {
+  const { request, res, ctx, sends } = execution;
+  ctx.log.write('failed', request.id, { reason: message, sends, stack });
+  execution.endEarly();
+  if (res.headersSent) res.destroy();
+  else sendGatewayResponse(res, { status: 502, message: 'internal error' });
+  return 'failed';
+};
+
 /** Handles one request to completion; never rejects. */
 export const serve = async (
   request: CallerRequest,
@@ -269,8 +279,12 @@
     execution.abort('caller-left');
   };
   res.once('close', onDisconnect);
-  const outcome = await sendUntilAnswered(execution);
-  clearTimeout(timer);
-  execution.endWork();
-  return outcome;
+  try {
+    return await sendUntilAnswered(execution);
+  } catch (error) {
+    return fail(execution, error as Error);
+  } finally {
+    clearTimeout(timer);
+    execution.endWork();
+  }
 };
--- a/packages/gateway/src/requests/targetHealth.ts
+++ b/packages/gateway/src/requests/targetHealth.ts
@@ -53,6 +53,8 @@
 ): void => {
   if (outcome.reason === 'wrong-target') {
     target.avoidUntil = now + WRONG_TARGET_BACKOFF_MS;
+  } else if (outcome.reason === 'unsendable') {
+    // Shows nothing about the target.
   } else if (outcome.reason === 'unreachable') {
     target.failures += 1;
     backOff(target, now);
--- a/packages/gateway/src/targets/__fixtures__/send.ts
+++ b/packages/gateway/src/targets/__fixtures__/send.ts
@@ -27,17 +27,19 @@
   port: number,
   connections: TargetConnections,
   onStatement: AttemptRequest['onStatement'] = () => {},
+  changes: Partial<AttemptRequest> = {},
 ): Attempt =>
   sendAttempt({
     host: '127.0.0.1',
     port,
     method: 'GET',
     path: '/',
-    headers: { 'x-id': 'r' },
+    headers: () => ({ 'x-id': 'r' }),
     body: undefined,
     requestId: 'r',
     timeoutMs: 2000,
     connections,
     wire,
     onStatement,
+    ...changes,
   });
--- a/packages/gateway/src/targets/__tests__/attempt.test.ts
+++ b/packages/gateway/src/targets/__tests__/attempt.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { createServer } from 'node:net';
 import { afterEach, describe, expect, it, vi } from 'vitest';
+import { sleep } from '@cardamomladder/types';
 import { beginSend } from '../__fixtures__/send';
 import { TargetConnections } from '../connections';
 import { IdleLimit } from '../idleLimit';
@@ -65,6 +66,39 @@
   });
 });
 
+describe('a request that Node.js refuses to send', () => {
+  const TIMEOUT_MS = 50;
+
+  it.each([
+    ['a header beyond Latin-1', { headers: () => ({ 'x-customer': 'Reykjavík – Ægir' }) }],
+    ['a header with a line break', { headers: () => ({ 'x-customer': 'a\nb' }) }],
+    ['a path with a space', { path: '/a b' }],
+    ['a port out of range', { port: 70_000 }],
+    [
+      'an exception while its headers are set',
+      {
+        headers: () => {
+          throw new Error('no headers');
+        },
+      },
+    ],
+  ])('ends as not run and leaves no timer behind: %s', async (_, changes) => {
+    // Guards against the end of the process when the timer of such a request expires.
+    const uncaught = vi.fn();
+    process.on('uncaughtException', uncaught);
+    const connections = new TargetConnections(2, now, new IdleLimit());
+    const options = { timeoutMs: TIMEOUT_MS, ...changes };
+    const { outcome, cancel, isConnected } = beginSend(9, connections, undefined, options);
+    expect(await outcome).toMatchObject({ kind: 'not-run', reason: 'unsendable' });
+    cancel('cancelled');
+    expect(isConnected()).toBe(false);
+    await sleep(2 * TIMEOUT_MS);
+    process.off('uncaughtException', uncaught);
+    expect(uncaught).not.toHaveBeenCalled();
+    connections.destroy();
+  });
+});
+
 describe('the statement of a target', () => {
   it('is taken from all of its own responses and from no others', async () => {
     // Guards against statements that are read from complete successes only, or accepted from another target.
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -6,6 +6,7 @@
  */
 import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request as httpRequest } from 'node:http';
+import { Result } from 'neverthrow';
 import type { HeaderNames, LoadReport, TargetStatement, WireProtocol } from '../wireProtocol';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { TargetConnections } from './connections';
@@ -24,7 +25,8 @@
   port: number;
   method: string;
   path: string;
-  headers: OutgoingHttpHeaders;
+  /** Called while the send is set up, so that an exception ends this send only. */
+  headers: () => OutgoingHttpHeaders;
   body: Buffer | undefined;
   requestId: string;
   timeoutMs: number;
@@ -39,7 +41,7 @@
 }
 
 /** Reason why a request is known not to have run. */
-export type NotRunReason = 'rejected' | 'wrong-target' | 'unreachable' | 'cut-off';
+export type NotRunReason = 'rejected' | 'wrong-target' | 'unreachable' | 'cut-off' | 'unsendable';
 /** Reason why it is unknown whether a request ran. */
 export type LostReason = 'timeout' | 'closed' | 'garbled' | 'cancelled';
 
@@ -61,6 +63,8 @@
       restMs?: number;
       /** The instance that a peer which is cut off names instead of itself. */
       otherPeer?: string;
+      /** Why the request could not be sent at all. */
+      problem?: string;
     }
   | { kind: 'lost'; reason: LostReason };
 
@@ -74,6 +78,10 @@
 }
 
 const WRONG_TARGET = 421;
+/** Reasons for which nothing was sent, so that the connection is of no use. */
+const UNSENT_REASONS: ReadonlySet<NotRunReason> = new Set(['unreachable', 'unsendable']);
+/** Lower numbers are no status, and can't be passed on. */
+const FIRST_STATUS = 100;
 
 const echoesRequestId = (
   response: IncomingMessage,
@@ -86,6 +94,7 @@
   if (!echoesRequestId(response, names, requestId)) return false;
   if (response.headers['content-encoding'] !== undefined) return false;
   const status = response.statusCode ?? 0;
+  if (status < FIRST_STATUS) return false;
   const success = status >= 200 && status < 300;
   return !success || response.headers[names.signature] !== undefined;
 };
@@ -118,8 +127,28 @@
   return response.headers[names.notRun] === undefined ? undefined : 'rejected';
 };
 
-/** Sends the request; the outcome's promise never rejects. */
-export const sendAttempt = (options: AttemptRequest): Attempt => {
+/** Creates the request without sending anything yet; fails if Node.js refuses a part of it. */
+const openRequest = Result.fromThrowable(
+  ({ host, port, method, path, headers, connections }: AttemptRequest) =>
+    httpRequest({ host, port, method, path, headers: headers(), agent: connections }),
+  (error) => error as Error,
+);
+
+const unsendableOutcome = ({ message }: Error): AttemptOutcome => ({
+  kind: 'not-run',
+  reason: 'unsendable',
+  problem: message,
+});
+
+/** The send of a request that could not be created. */
+const unsendable = (error: Error): Attempt => ({
+  outcome: Promise.resolve(unsendableOutcome(error)),
+  isConnected: () => false,
+  cancel: () => {},
+});
+
+/** Sends a created request and determines its outcome. */
+const awaitOutcome = (request: ClientRequest, options: AttemptRequest): Attempt => {
   const { wire, requestId } = options;
   let resolveOutcome: (outcome: AttemptOutcome) => void = () => {};
   const outcome = new Promise<AttemptOutcome>((resolve) => {
@@ -128,7 +157,6 @@
   let connected = false;
   let settled = false;
   let connectTimer: NodeJS.Timeout | undefined;
-  let request: ClientRequest;
   const timer = setTimeout(() => finish({ kind: 'lost', reason: 'timeout' }), options.timeoutMs);
 
   function abort(): void {
@@ -142,8 +170,8 @@
     settled = true;
     clearTimeout(timer);
     clearTimeout(connectTimer);
-    const isUnreachable = result.kind === 'not-run' && result.reason === 'unreachable';
-    if (result.kind === 'lost' || isUnreachable) abort();
+    const isUnsent = result.kind === 'not-run' && UNSENT_REASONS.has(result.reason);
+    if (result.kind === 'lost' || isUnsent) abort();
     // Nothing has been sent if the connection was never established.
     resolveOutcome(
       result.kind === 'lost' && !connected ? { kind: 'not-run', reason: 'unreachable' } : result,
@@ -191,14 +219,6 @@
     response.on('aborted', () => finish({ kind: 'lost', reason: 'closed' }));
   };
 
-  request = httpRequest({
-    host: options.host,
-    port: options.port,
-    method: options.method,
-    path: options.path,
-    headers: options.headers,
-    agent: options.connections,
-  });
   request.on('socket', (socket) => {
     if (!socket.connecting) {
       connected = true;
@@ -214,13 +234,24 @@
       clearTimeout(connectTimer);
     });
   });
-  request.on('response', handleResponse);
+  request.on('response', (response) => {
+    try {
+      handleResponse(response);
+    } catch {
+      // A response that can't be read is of no use, and no reason to end other requests.
+      finish({ kind: 'lost', reason: 'garbled' });
+    }
+  });
   request.on('error', () => {
     if (!settled) options.connections.recordUnansweredClose(request);
     finish({ kind: 'lost', reason: 'closed' });
   });
   request.on('close', () => finish({ kind: 'lost', reason: 'closed' }));
-  request.end(options.body);
+  try {
+    request.end(options.body);
+  } catch (error) {
+    finish(unsendableOutcome(error as Error));
+  }
 
   return {
     outcome,
@@ -228,3 +259,9 @@
     cancel: (reason) => finish({ kind: 'lost', reason }),
   };
 };
+
+/** Sends the request; never throws, and the outcome's promise never rejects. */
+export const sendAttempt = (options: AttemptRequest): Attempt => {
+  const opened = openRequest(options);
+  return opened.isErr() ? unsendable(opened.error) : awaitOutcome(opened.value, options);
+};
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -1,5 +1,6 @@
 export { BodyError, MAX_JSON_BYTES, readBody, readJson, sendJson } from './server';
 export type { Transfer, TransferLimits } from './transferLimits';
 export { TransferTooLong, limitTransfer, whileProgressing, withinMs } from './transferLimits';
+export { isHeaderToken, toHeaderValue, toRequestPath } from './wireText';
 export type { JsonResponse, TransportError } from './client';
 export { callJson } from './client';
--- a/packages/steering/src/placement/advertisedLimit.ts
+++ b/packages/steering/src/placement/advertisedLimit.ts
@@ -31,6 +31,9 @@
   /** When pacing started or the last paced request was sent. */
   private lastSendAt = -Infinity;
 
+  /** `lastSendAt` before the last request. */
+  private earlierSendAt = -Infinity;
+
   /** True until the first request is sent after a limit was advertised. */
   private awaitsFirstSend = false;
 
@@ -71,10 +74,17 @@
   /** Records a request that is sent to the target, which delays the next one. */
   recordSend(now: number): void {
     this.sends.add(now);
+    this.earlierSendAt = this.lastSendAt;
     this.lastSendAt = now;
     this.awaitsFirstSend = false;
   }
 
+  /** Takes back the last recorded request, as it could not be sent. */
+  cancelSend(now: number): void {
+    this.sends.add(now, -1);
+    this.lastSendAt = this.earlierSendAt;
+  }
+
   /** This instance's sends of the last four seconds. */
   sentLately(now: number): number {
     return this.sends.total(now);
--- a/packages/steering/src/placement/retryBudget.ts
+++ b/packages/steering/src/placement/retryBudget.ts
@@ -108,24 +108,39 @@
 
   /** Takes one repeat from the budget if there is one. */
   tryWithdraw(now: number): boolean {
-    if (now >= this.earnedFrom && this.takeEarned(now)) return true;
+    return this.take(now) !== undefined;
+  }
+
+  /** Takes one repeat from the budget if there is one; the returned function puts it back if it was not sent. */
+  take(now: number): (() => void) | undefined {
+    return (now >= this.earnedFrom ? this.takeEarned(now) : undefined) ?? this.takeClaimed(now);
+  }
+
+  private takeClaimed(now: number): (() => void) | undefined {
     this.claimed = this.claimed.filter(({ left, until }) => left > 0 && until >= now);
-    if (this.claimed.length === 0) return false;
-    this.claimed[0].left -= 1;
-    return true;
+    const [first] = this.claimed;
+    if (!first) return undefined;
+    first.left -= 1;
+    return () => {
+      first.left += 1;
+      if (!this.claimed.includes(first)) this.claimed.unshift(first);
+    };
   }
 
-  private takeEarned(now: number): boolean {
+  private takeEarned(now: number): (() => void) | undefined {
     const hasFew = this.hasFewRequests(now);
-    if (!hasFew && !this.isWithinWindow(now)) return false;
+    if (!hasFew && !this.isWithinWindow(now)) return undefined;
     const { windowMs } = this.bound;
     const mayBeEarlier = !hasFew && now <= this.earlierUntil;
     const since = mayBeEarlier ? -Infinity : now - RECENT_FRACTION * windowMs;
     const index = this.unspent(now).findIndex((at) => at >= since);
-    if (index < 0) return false;
-    this.earned.splice(index, 1);
+    if (index < 0) return undefined;
+    const [earnedAt] = this.earned.splice(index, 1);
     this.repeats.add(now);
-    return true;
+    return () => {
+      this.earned = [...this.earned, earnedAt].sort((a, b) => a - b);
+      this.repeats.add(now, -1);
+    };
   }
 
   private unspent(now: number): number[] {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -49,7 +49,7 @@
 export { ExpiringMap } from './expiringMap';
 export type { StorePosition } from './storePosition';
 export { comparePositions, positionOf } from './storePosition';
-export { splitAddress } from './address';
+export { isSocketAddress, splitAddress } from './address';
 export { sleep } from './sleep';
 export type { FailureKind, SchemaIssue } from './errors';
 export { Failure, describeIssues, failure, fieldPath } from './errors';
