--- a/packages/gateway/src/lifecycle/aliveSection.ts
+++ b/packages/gateway/src/lifecycle/aliveSection.ts
@@ -6,7 +6,13 @@
  */
 import { z } from 'zod';
 import type { InstanceEntry } from '@cardamomladder/fleet';
-import { failureDomainName, instanceId, regionName, socketAddress } from '@cardamomladder/types';
+import {
+  failureDomainName,
+  instanceId,
+  isSocketAddress,
+  regionName,
+  socketAddress,
+} from '@cardamomladder/types';
 import type { Section } from '../peers/exchange';
 import { selectAdvertised } from './advertisedInstances';
 import type { Phase } from './phase';
@@ -20,7 +26,7 @@
 const MAX_LINK_MBPS = 10_000_000;
 
 const text = z.string().min(1).max(MAX_TEXT_LENGTH);
-const address = text.regex(/^[^\s:]+:\d{1,5}$/, { error: 'give it as host:port' });
+const address = text.refine(isSocketAddress, { error: 'give it as host:port' });
 const entry = z.strictObject({
   id: text.transform(instanceId),
   callerAddress: address.transform(socketAddress),
