Health paths may have any characters

What callers saw: with a space or a character beyond ASCII in a service's health path, an instance that started refused every request with 503, as it took itself for cut off from all targets.

Cause: http.request() threw for the path, and the probe took this for the silence of the target.

A check that can't be created shows nothing about the links.

--- a/packages/gateway/src/reach/probe.ts
+++ b/packages/gateway/src/reach/probe.ts
@@ -1,5 +1,7 @@
 /** Probes targets with health checks over new connections. */
+import type { ClientRequest } from 'node:http';
 import { request as httpRequest } from 'node:http';
+import { Result } from 'neverthrow';
 import type { ProbeResult } from './reachMonitor';
 
 /** Response timeout of a probe, ms: more than two trips between any two regions and a short queue. */
@@ -14,13 +16,17 @@
   healthPath: string;
 }
 
+/** Creates a health check over a new connection; fails if Node.js refuses a part of it. */
+export const openHealthCheck = Result.fromThrowable(
+  ({ host, port, healthPath }: ProbedTarget, signal: AbortSignal): ClientRequest =>
+    httpRequest({ host, port, path: healthPath, agent: false, signal }),
+  (error) => error as Error,
+);
+
 /** Sends one health check; any response, also a failure, shows that the target is reached. */
-const isAnswered = (
-  { host, port, healthPath }: ProbedTarget,
-  signal: AbortSignal,
-): Promise<boolean> =>
+const isAnswered = (req: ClientRequest): Promise<boolean> =>
   new Promise((resolve) => {
-    const req = httpRequest({ host, port, path: healthPath, agent: false, signal }, (res) => {
+    req.on('response', (res) => {
       res.on('error', () => {});
       res.resume();
       resolve(true);
@@ -45,9 +51,13 @@
   targets: readonly ProbedTarget[],
   now: () => number,
 ): Promise<ProbeResult> => {
-  if (targets.length === 0) return 'unknown';
   const abort = new AbortController();
-  const answers = targets.map((target) => isAnswered(target, abort.signal));
+  const checks = targets
+    .map((target) => openHealthCheck(target, abort.signal))
+    .filter((opened) => opened.isOk());
+  // A check that can't be sent shows nothing about the links.
+  if (checks.length === 0) return 'unknown';
+  const answers = checks.map(({ value }) => isAnswered(value));
   const firstAnswer = Promise.any(
     answers.map(async (answer) => ((await answer) ? true : Promise.reject())),
   ).then(
