All requests of a connection end when its caller leaves

What was seen: after a caller that pipelines had left, its requests behind the first went on at targets and were counted as open for good, so that a planned stop lasted until the end of the grace period.

Cause: work is ended by the close event of the response, which Node.js emits only for the response that owns the socket.

Change: when a connection closes, its queued responses are closed too.

--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -9,10 +9,18 @@
 import type { Phase } from '../lifecycle/phase';
 
 interface CallerSocket extends Socket {
-  unanswered?: number;
+  /** Its responses that are not complete; several if the caller pipelines. */
+  unanswered?: Set<ServerResponse>;
   closing?: boolean;
 }
 
+/** Ends all responses of a connection when it closes: Node.js emits `close` for the first one only. */
+const watchForClose = (socket: Socket): Set<ServerResponse> => {
+  const unanswered = new Set<ServerResponse>();
+  socket.once('close', () => unanswered.forEach((res) => res.emit('close')));
+  return unanswered;
+};
+
 /** A request whose response is not complete. */
 export interface UnansweredRequest {
   id: string | undefined;
@@ -44,10 +52,12 @@
     const socket = req.socket as CallerSocket;
     if (socket.closing) return false;
     const request = { id: this.idOf(req), arrivedAt: this.now() };
-    socket.unanswered = (socket.unanswered ?? 0) + 1;
+    socket.unanswered ??= watchForClose(socket);
+    const { unanswered } = socket;
+    unanswered.add(res);
     this.open.add(request);
     res.once('close', () => {
-      socket.unanswered = (socket.unanswered ?? 1) - 1;
+      unanswered.delete(res);
       this.open.delete(request);
     });
     return true;
@@ -78,7 +88,7 @@
   /** Closes the connection after this response if no other request is pending on it. */
   closeAfter(req: IncomingMessage, res: ServerResponse): void {
     const socket = req.socket as CallerSocket;
-    if ((socket.unanswered ?? 1) > 1) return;
+    if ((socket.unanswered?.size ?? 0) > 1) return;
     socket.closing = true;
     res.shouldKeepAlive = false;
   }
