A repeat that is not sent is put back whatever ends its request

The repeat was handed back by the outcome of the send that was in progress, which in the case of a late answer is the send before the repeat. It now belongs to the send that uses it, and is put back if the request ends without one. The planned end is a subject beside the phase.

--- a/packages/gateway/src/components.ts
+++ b/packages/gateway/src/components.ts
@@ -74,8 +74,7 @@
   /** Target crashes observed by this instance. */
   crashReports: CrashReports;
   /** When this process ends, ms on the monotonic clock; Infinity unless it is stopping. */
-  endsAt: () => number;
-  setEnd: (endsAt: number) => void;
+  plannedEnd: BehaviorSubject<number>;
   /** True while this instance accepts callers. */
   ready: () => boolean;
   /** Monotonic clock, ms. */
@@ -170,7 +169,6 @@
   const now = () => performance.now();
   const log = decisionLog(logger('gateway'), now);
   const phase = createPhase();
-  let end = Infinity;
   const run = Date.now();
   const clusterState = new ClusterState();
   logStateChanges(clusterState, log);
@@ -211,10 +209,7 @@
     quarantine,
     recentAnswers: new RecentAnswers(now),
     crashReports: createCrashReports({ store, clusterState, fleet, log, now }, quarantine),
-    endsAt: () => end,
-    setEnd: (endsAt) => {
-      end = endsAt;
-    },
+    plannedEnd: new BehaviorSubject(Infinity),
     ready: () => phase.value === 'serving' && clusterState.configuration !== undefined,
     now,
   };
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -34,7 +34,7 @@
   const { store, wire, logWriter } = options;
   let { settings } = options;
   const components = createComponents(() => settings, store, wire);
-  const { clusterState, metrics, phase, setEnd, log, now, self, crashReports } = components;
+  const { clusterState, metrics, phase, plannedEnd, log, now, self, crashReports } = components;
   // Subscribes before the store follower starts, so that the first configuration is not missed.
   const registration = registerWhenConfigured(components);
   const follower = startStoreFollower(components);
@@ -56,7 +56,7 @@
       const { connections } = listeners;
       await stopGracefully({
         phase,
-        setEnd,
+        plannedEnd,
         signalledAt,
         registration: registration(),
         connections,
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -23,7 +23,7 @@
 export interface StopOptions {
   phase: BehaviorSubject<Phase>;
   /** Tells the other parts when this process ends. */
-  setEnd: (endsAt: number) => void;
+  plannedEnd: BehaviorSubject<number>;
   /** When the signal arrived, from which the grace period counts. */
   signalledAt: number;
   registration: Registration | undefined;
@@ -60,9 +60,9 @@
 
 /** Leaves the directory, and serves what can be answered in the grace period until no request comes. */
 export const stopGracefully = async (options: StopOptions): Promise<void> => {
-  const { phase, setEnd, signalledAt, registration, connections, graceMs, log, now } = options;
+  const { phase, plannedEnd, signalledAt, registration, connections, graceMs, log, now } = options;
   const endsAt = signalledAt + graceMs - endReserveMs(graceMs);
-  setEnd(endsAt);
+  plannedEnd.next(endsAt);
   phase.next('leaving');
   log.write('lifecycle', undefined, { event: 'leaving', unanswered: connections.unanswered });
   registration?.deregister().catch((error: Error) => {
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -104,9 +104,8 @@
   fairShares: FairShares,
   paceProbes: PaceProbes,
 ) => {
-  const { settings, store, clusterState, phase, endsAt, wire, fleet, self, metrics, log, now } =
-    components;
-  const { quarantine, recentAnswers, crashReports } = components;
+  const { settings, store, clusterState, phase, wire, fleet, self, metrics, log, now } = components;
+  const { plannedEnd, quarantine, recentAnswers, crashReports } = components;
   return createCallerServer({
     quotas,
     fairShares,
@@ -132,7 +131,7 @@
       log,
       now,
     }),
-    endsAt,
+    endsAt: () => plannedEnd.value,
     apiKeysRequired: () => clusterState.configuration?.customers !== undefined,
     versions: () => ({
       configuration: clusterState.configuration?.version ?? 0,
--- a/packages/gateway/src/requests/chooseRetry.ts
+++ b/packages/gateway/src/requests/chooseRetry.ts
@@ -78,5 +78,6 @@
   // The targets may have changed meanwhile.
   execution.recordWithdrawal(withdrawal);
   const later = chooseRetryDestination(execution, outcome);
+  if (!later) execution.takeWithdrawal()?.refund();
   return later && consumeRateLimit(later, execution);
 };
--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -64,9 +64,6 @@
   execution.setCurrentAttempt(attempt);
   const outcome = attempt.outcome.then((result) => {
     span.end();
-    execution.endWithdrawal(
-      result.kind === 'not-run' && result.reason === 'unsendable' ? 'unsent' : 'used',
-    );
     const name = result.kind === 'answer' ? 'answer' : result.reason;
     ctx.metrics.forwards.inc({ result: name });
     if (result.kind === 'answer' || result.reason === 'rejected') ctx.peers.recordServing(peer.id);
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -193,10 +193,11 @@
     this.withdrawal = withdrawal;
   }
 
-  /** Ends the claim on the budget after a send; a repeat that could not be sent is put back. */
-  endWithdrawal(end: 'used' | 'unsent'): void {
-    if (end === 'unsent') this.withdrawal?.refund();
+  /** Hands over the repeat that was taken from the budget, if any, to the send that uses it. */
+  takeWithdrawal(): Withdrawal | undefined {
+    const { withdrawal } = this;
     this.withdrawal = undefined;
+    return withdrawal;
   }
 
   setCurrentAttempt(attempt: Attempt): void {
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -70,8 +70,8 @@
   cancel: () => void;
 }
 
-/** True if Node.js refused to send the request, so that the target is not concerned. */
-const isUnsent = (outcome: AttemptOutcome): boolean =>
+/** True if Node.js refused to send the request, so that its destination is not concerned. */
+export const isUnsent = (outcome: AttemptOutcome): boolean =>
   outcome.kind === 'not-run' && outcome.reason === 'unsendable';
 
 /** What an outcome shows about the links of this instance. */
@@ -154,7 +154,6 @@
     const unsent = isUnsent(result);
     if (unsent && isCold) placed.coldSends.add(sentAt, -1);
     if (unsent) placed.selfReport.limit.cancelSend(ctx.now());
-    execution.endWithdrawal(unsent ? 'unsent' : 'used');
     endSend(result.kind === 'lost' || unsent ? 'lost' : 'answered', ctx.now());
     const tookMs = ctx.now() - sentAt;
     if ('load' in result && result.load?.pace !== undefined)
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -21,7 +21,7 @@
 import { STOPPING, remainingTime } from './remainingTime';
 import { retryTimeoutMs, shouldRetry } from './retryPolicy';
 import type { Send } from './send';
-import { startSend } from './send';
+import { isUnsent, startSend } from './send';
 import type { ServeContext, ServeOutcome } from './requestExecution';
 import { RequestExecution } from './requestExecution';
 
@@ -192,15 +192,21 @@
 };
 
 const startSendTo = (execution: RequestExecution, destination: Destination): Send => {
-  if (execution.sends === 0) execution.startWork();
-  if (destination.kind === 'peer') return startForward(execution, destination.peer);
   const { request, ctx } = execution;
-  const send = startSend(execution, destination.target);
-  const ended = ({ kind }: AttemptOutcome) =>
+  if (execution.sends === 0) execution.startWork();
+  const withdrawal = execution.takeWithdrawal();
+  const send =
+    destination.kind === 'peer'
+      ? startForward(execution, destination.peer)
+      : startSend(execution, destination.target);
+  const ended = (outcome: AttemptOutcome) => {
+    if (isUnsent(outcome)) withdrawal?.refund();
+    if (destination.kind === 'peer') return;
     ctx.admission.sendEnded(
       request.service,
-      kind === 'answer' ? ctx.now() - send.sentAt : undefined,
+      outcome.kind === 'answer' ? ctx.now() - send.sentAt : undefined,
     );
+  };
   send.outcome.then(ended, () => {});
   return send;
 };
@@ -286,5 +292,6 @@
   } finally {
     clearTimeout(timer);
     execution.endWork();
+    execution.takeWithdrawal()?.refund();
   }
 };
