Logs and metrics of callers that leave, and of connections that wait to be accepted

Hypotheses 1 to 4 of docs/incidents/callers-that-left.md could not be told apart: the log said nothing of connections that wait in the kernel, nor how long before the close a request had been sent.

AcceptQueue measures for how long each turn accepts one: histogram cardamomladder_accept_run_seconds, and a line `lifecycle event=connections waited` from 250 ms on. `caller-left` lines say `sinceSendMs`; cardamomladder_callers_left_total counts them by whether their request was sent.

--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -79,6 +79,9 @@
 
   sends = 0;
 
+  /** When the request was last sent; monotonic clock, ms. */
+  lastSentAt: number | undefined;
+
   /** Set once the request was within its claimant's share: true if it goes before others for that. */
   withinShare: { urgent: boolean } | undefined;
 
@@ -162,15 +165,20 @@
   }
 
   countSend(target: TargetId): void {
-    this.sends += 1;
+    this.recordSend();
     this.tried.add(target);
   }
 
   countForward(peer: InstanceId): void {
-    this.sends += 1;
+    this.recordSend();
     this.triedPeers.add(peer);
   }
 
+  private recordSend(): void {
+    this.sends += 1;
+    this.lastSentAt = this.ctx.now();
+  }
+
   /** Sends that may still reach a target, this one included; of a request that may be repeated, one is kept for another peer. */
   attemptsToForward(isRepeatable: boolean): number {
     const left = this.request.route.maxAttempts - (this.sends - this.unreachable);
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -277,9 +277,12 @@
   }, timeLeftMs);
   const onDisconnect = () => {
     if (res.writableFinished) return;
+    const { sends, lastSentAt } = execution;
+    ctx.metrics.callersLeft.inc({ request: sends > 0 ? 'sent' : 'unsent' });
     ctx.log.write('caller-left', request.id, {
-      sends: execution.sends,
+      sends,
       waitedMs: Math.round(ctx.now() - request.arrivedAt),
+      sinceSendMs: lastSentAt === undefined ? undefined : Math.round(ctx.now() - lastSentAt),
       allowedMs: Math.round(request.deadlineAt - request.arrivedAt),
     });
     execution.abort('caller-left');
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -26,6 +26,7 @@
 import type { ServeContext, ServeOutcome } from '../requests/requestExecution';
 import { PriorWaitEstimator } from '../requests/priorWait';
 import { CREDENTIALS_HEADER } from '../wireProtocol';
+import { AcceptQueue } from './acceptQueue';
 import { admit } from './admit';
 import { CallerConnections } from './callerConnections';
 import { ConfiguredRoutes } from './configuredRoutes';
@@ -42,6 +43,8 @@
 const NO_REGION_RETRY_MS = 5000;
 /** Interval at which Node checks connections for header timeouts, ms. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
+/** Time from which a run of accepted connections is logged, ms: a caller gives a connection up after a second. */
+const LOGGED_ACCEPT_RUN_MS = 250;
 /** Latency metrics are in seconds. */
 const MS_PER_SECOND = 1000;
 
@@ -209,6 +212,16 @@
       });
     },
   );
+  const acceptQueue = new AcceptQueue(now, (run) => {
+    metrics.acceptRunSeconds.observe(run.ms / MS_PER_SECOND);
+    if (run.ms >= LOGGED_ACCEPT_RUN_MS)
+      log.write('lifecycle', undefined, {
+        event: 'connections waited',
+        accepted: run.connections,
+        ms: Math.round(run.ms),
+      });
+  });
+  acceptQueue.watch(server);
   clusterState.changes.subscribe((change) => {
     if (change.kind === 'configuration') applyLimits(server, change.configuration.limits);
   });
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -52,6 +52,10 @@
   statedInstances: Gauge;
   logLinesDropped: Gauge;
   eventLoopDelay: Gauge;
+  /** Time for which each turn of the event loop accepted a connection: others waited meanwhile. */
+  acceptRunSeconds: Histogram;
+  /** Callers that left before their answer was complete, by how far their request was. */
+  callersLeft: Counter<'request'>;
 }
 
 /** Creates a registry with the metrics of one instance; `defaults` adds the Node.js process metrics. */
@@ -136,6 +140,17 @@
       'event_loop_delay_seconds',
       'How late a timer of this instance last fired.',
     ),
+    acceptRunSeconds: new Histogram({
+      name: 'cardamomladder_accept_run_seconds',
+      help: 'Time for which connections were accepted one in each turn of the event loop.',
+      buckets: WAIT_BUCKETS,
+      registers,
+    }),
+    callersLeft: counter(
+      'callers_left_total',
+      'Callers that left before their answer was complete, by whether their request had been sent.',
+      ['request'],
+    ),
     logLinesDropped: gauge('log_lines_dropped', 'Log lines dropped as the reader was too slow.'),
   };
 };
