Requests are sent only when it is known whether their caller has left

Cause: what is known of a caller is as old as the last read of its socket, and a request was sent in the turn of the event loop in which it was read, or from a timer or another socket's callback. A late process finds request and close in the kernel together and reads them in two turns. And Node.js 20 accepts one connection in a turn: with turns of 5 to 20 ms connections wait for a second while no timer is late, so that in a burst nearly all requests that are read are of callers that have gone (147 of 165 closes within 30 ms of their request), whose sends keep the process busy.

Change: a barrier (requests/readBarrier.ts) that every send passes: first sends, waiting requests, repeats after failures, silence and the wait for the budget, requests of peers. It opens in a turn after everything that had arrived has been read, works in slices of 10 ms, and accepts and reads connections between them. All requests of a connection end with the first sign of its end, not with 'close', which comes a turn later; one whose caller left before it was served ends there.

Ruled out: a late connection to a target, bytes in a link (closes followed their sends within 30 ms).

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -18,6 +18,8 @@
 import { Admission } from './requests/admission';
 import { createRetryBudgets } from './requests/retryBudgets';
 import type { CallerConnections } from './server/callerConnections';
+import { ReadBarrier } from './requests/readBarrier';
+import { AcceptQueue } from './server/acceptQueue';
 import { createCallerServer } from './server/callerServer';
 import { nearestInstances } from './server/directory';
 import {
@@ -85,8 +87,15 @@
 const createAdmission = (
   { settings, clusterState, phase, metrics, now }: Components,
   registry: TargetRegistry,
+  reads: ReadBarrier,
 ): Admission => {
-  const admission = new Admission({ settings: settings().admission, registry, metrics, now });
+  const admission = new Admission({
+    settings: settings().admission,
+    registry,
+    reads,
+    metrics,
+    now,
+  });
   clusterState.changes.subscribe(({ kind }) => {
     if (kind === 'target' || kind === 'evacuation') admission.targetsChanged();
   });
@@ -103,6 +112,7 @@
   quotas: Quotas,
   fairShares: FairShares,
   paceProbes: PaceProbes,
+  reads: ReadBarrier,
 ) => {
   const { settings, store, clusterState, phase, wire, fleet, self, metrics, log, now } = components;
   const { plannedEnd, quarantine, recentAnswers, crashReports } = components;
@@ -121,7 +131,8 @@
     peers: createForwardingPeers(components),
     self: self.id,
     crashes: createCrashDetector(components, reach),
-    admission: createAdmission(components, registry),
+    admission: createAdmission(components, registry, reads),
+    reads,
     retriesOf: createRetryBudgets({
       self: self.id,
       bounds: () => settings().bounds,
@@ -144,6 +155,19 @@
 };
 
 const MS_PER_SECOND = 1000;
+/** Time from which a run of accepted connections is logged, ms: a caller gives a connection up after a second. */
+const LOGGED_ACCEPT_RUN_MS = 250;
+
+const createAcceptQueue = ({ metrics, log, now }: Components): AcceptQueue =>
+  new AcceptQueue(now, ({ connections, ms }) => {
+    metrics.acceptRunSeconds.observe(ms / MS_PER_SECOND);
+    if (ms >= LOGGED_ACCEPT_RUN_MS)
+      log.write('lifecycle', undefined, {
+        event: 'connections waited',
+        accepted: connections,
+        ms: Math.round(ms),
+      });
+  });
 
 const createQuotas = (
   { settings, self, clusterState, live, advertised, log, now }: Components,
@@ -208,15 +232,30 @@
   const quotas = createQuotas(components, follower);
   const fairShares = createFairShares(components, registry);
   const reach = createReachMonitor(components, registry);
+  const acceptQueue = createAcceptQueue(components);
+  const reads = new ReadBarrier({ now, mayAcceptMore: () => acceptQueue.mayHoldMore });
   const {
     server: callers,
     connections,
     serveForwarded,
-  } = createCallerListener(components, registry, reach, quotas, fairShares, paceProbes);
+  } = createCallerListener(components, registry, reach, quotas, fairShares, paceProbes, reads);
   const directoryTtl = Math.min(DIRECTORY_TTL_SECONDS, bounds.directoryTtlSeconds);
   pace.observe(registry);
   const exchange = startPeerExchange(components, registry, registration, fairShares);
   const recordPeer = recentPeers.record.bind(recentPeers);
+  const router = peerRouter({
+    clusterState,
+    follower,
+    crashReports,
+    recordPeer,
+    bulletin,
+    pace,
+    lend: quotas.lend,
+    now,
+  });
+  const peers = createPeerServer(router, serveForwarded);
+  acceptQueue.watch(callers);
+  acceptQueue.watch(peers);
   const servers: [Server, string][] = [
     [callers, addresses.callers],
     [
@@ -224,22 +263,7 @@
       addresses.directory,
     ],
     [createReadinessServer(wire, ready), addresses.readiness],
-    [
-      createPeerServer(
-        peerRouter({
-          clusterState,
-          follower,
-          crashReports,
-          recordPeer,
-          bulletin,
-          pace,
-          lend: quotas.lend,
-          now,
-        }),
-        serveForwarded,
-      ),
-      addresses.peers,
-    ],
+    [peers, addresses.peers],
   ];
   if (metricsPort > 0)
     servers.push([
--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -16,6 +16,7 @@
 import type { Destination, DestinationChoice } from './destination';
 import { chooseDestination } from './destination';
 import { hasNews } from './placeable';
+import type { ReadBarrier } from './readBarrier';
 import type { RequestExecution } from './requestExecution';
 import type { Send } from './send';
 
@@ -24,6 +25,7 @@
   settings: InstanceSettings['admission'];
   registry: Pick<TargetRegistry, 'forService'>;
   metrics: Pick<GatewayMetrics, 'waitingRequests' | 'waitSeconds' | 'turns'>;
+  reads: Pick<ReadBarrier, 'isRecent' | 'passed'>;
   now: () => number;
 }
 
@@ -62,6 +64,8 @@
 interface ServiceState {
   admission: ServiceAdmission<Held>;
   triedAt: number;
+  /** True while a try waits until it is known which callers have left. */
+  isTryDue?: boolean;
   timer?: NodeJS.Timeout;
 }
 
@@ -181,9 +185,23 @@
       this.retryAll(state);
   }
 
+  /** Tries all that wait, once it is known whose callers have left. */
   private retryAll(state: ServiceState): void {
-    Object.assign(state, { triedAt: this.options.now() });
-    state.admission.offer((held) => held.retry());
+    const { reads, now } = this.options;
+    Object.assign(state, { triedAt: now() });
+    if (reads.isRecent) {
+      state.admission.offer((held) => held.retry());
+      return;
+    }
+    if (state.isTryDue) return;
+    Object.assign(state, { isTryDue: true });
+    reads.passed().then(
+      () => {
+        Object.assign(state, { isTryDue: false });
+        state.admission.offer((held) => held.retry());
+      },
+      () => {},
+    );
   }
 
   private wait(
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -87,6 +87,10 @@
 export const headerValues = ({ rawHeaders }: IncomingMessage, name: string): string[] =>
   rawHeaders.filter((_, i) => i % 2 === 1 && rawHeaders[i - 1].toLowerCase() === name);
 
+/** True once the caller's end of the connection is known to be closed, so that no response reaches it. */
+export const hasCallerLeft = ({ socket }: IncomingMessage): boolean =>
+  socket.destroyed || socket.readableEnded;
+
 export const hasBody = (req: IncomingMessage): boolean =>
   req.headers['transfer-encoding'] !== undefined ||
   (req.headers['content-length'] !== undefined && req.headers['content-length'] !== '0');
--- a/packages/gateway/src/requests/chooseRetry.ts
+++ b/packages/gateway/src/requests/chooseRetry.ts
@@ -57,6 +57,7 @@
 ): Promise<Destination | undefined> => {
   const { request, ctx, sends } = execution;
   if (outcome.kind === 'not-run' && isRefusedForRoom(outcome)) ctx.fairShares.refused(execution);
+  if (!mayRetry(execution, outcome) || (await execution.endedBeforeSend())) return undefined;
   const destination = chooseRetryDestination(execution, outcome);
   if (!destination) return undefined;
   const retries = ctx.retriesOf(request.service);
@@ -77,6 +78,7 @@
   }
   // The targets may have changed meanwhile.
   execution.recordWithdrawal(withdrawal);
+  await execution.endedBeforeSend();
   const later = chooseRetryDestination(execution, outcome);
   if (!later) execution.takeWithdrawal()?.refund();
   return later && consumeRateLimit(later, execution);
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -31,8 +31,11 @@
 import type { Admission } from './admission';
 import { sendGatewayResponse } from './responses';
 import type { CallerRequest } from './callerRequest';
+import { hasCallerLeft } from './callerRequest';
 import type { FairShares } from './fairShares';
 import { callerDigestOf, requestDigestOf } from './digest';
+import type { ReadBarrier } from './readBarrier';
+import { recordCallerLeft } from './recordCallerLeft';
 import type { ServiceRetries, Withdrawal } from './retryBudgets';
 
 /** Dependencies for handling requests, provided by the instance. */
@@ -57,6 +60,8 @@
   apiKeysRequired: () => boolean;
   /** Versions of the configuration and of the store data in use, for the log. */
   versions: () => { configuration: number } & StorePosition;
+  /** Tells when a request may be sent without missing that its caller has left. */
+  reads: Pick<ReadBarrier, 'isRecent' | 'passed'>;
   /** When this process ends, ms on the monotonic clock; Infinity unless it is stopping. */
   endsAt: () => number;
   metrics: GatewayMetrics;
@@ -236,6 +241,25 @@
     return ctx.registry.forService(request.service).responseTails[request.route.kind];
   }
 
+  /**
+   * Waits until it is known whether the caller has left, unless that has just been
+   * read. Returns how the request has ended, if it has. To be called before each send.
+   */
+  async endedBeforeSend(): Promise<ServeOutcome | undefined> {
+    const { reads } = this.ctx;
+    if (!reads.isRecent) await reads.passed();
+    if (hasCallerLeft(this.req)) this.callerLeft();
+    return this.ended;
+  }
+
+  /** Ends the request because its caller has left. */
+  callerLeft(): void {
+    if (this.ended) return;
+    const { request, ctx, sends, lastSentAt } = this;
+    recordCallerLeft(request.id, { ...request, sends, lastSentAt }, ctx);
+    this.abort('caller-left');
+  }
+
   /** Sets what ends the wait for a slot when the request is ended early. */
   onAbort(endWait: (() => void) | undefined): void {
     this.endWait = endWait;
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -217,10 +217,12 @@
 
 /** Sends and retries until there is a response, no further send is allowed, or the request was aborted. */
 const sendUntilAnswered = async (execution: RequestExecution): Promise<ServeOutcome> => {
-  const { request } = execution;
+  const { request, ctx } = execution;
+  const endedUnsent = await execution.endedBeforeSend();
+  if (endedUnsent) return endedUnsent;
   if (execution.quarantined)
     return reject(execution, { reason: 'quarantined', retryAfterMs: QUARANTINE_RETRY_AFTER_MS });
-  const admitted = execution.ctx.admission.firstSend(execution, startSendTo);
+  const admitted = ctx.admission.firstSend(execution, startSendTo);
   const first = admitted instanceof Promise ? await admitted : admitted;
   if (first.kind === 'rejected') return execution.ended ?? reject(execution, first);
   let { destination, send } = first;
@@ -245,6 +247,11 @@
     if (execution.ended) return execution.ended;
     // An error response from one target is preferred to no response from the next.
     if (!retry) return finish(execution, lastResponse ?? outcome, mayHaveRun, destination);
+    const ended = await execution.endedBeforeSend();
+    if (ended) {
+      if (retry.kind === 'target') retry.target.placed.selfReport.limit.cancelSend(ctx.now());
+      return ended;
+    }
     destination = retry;
     send = startSendTo(execution, destination);
   }
@@ -277,15 +284,7 @@
   }, timeLeftMs);
   const onDisconnect = () => {
     if (res.writableFinished) return;
-    const { sends, lastSentAt } = execution;
-    ctx.metrics.callersLeft.inc({ request: sends > 0 ? 'sent' : 'unsent' });
-    ctx.log.write('caller-left', request.id, {
-      sends,
-      waitedMs: Math.round(ctx.now() - request.arrivedAt),
-      sinceSendMs: lastSentAt === undefined ? undefined : Math.round(ctx.now() - lastSentAt),
-      allowedMs: Math.round(request.deadlineAt - request.arrivedAt),
-    });
-    execution.abort('caller-left');
+    execution.callerLeft();
   };
   res.once('close', onDisconnect);
   try {
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -14,10 +14,14 @@
   closing?: boolean;
 }
 
-/** Ends all responses of a connection when it closes: Node.js emits `close` for the first one only. */
+/**
+ * Ends all responses of a connection as soon as its caller has ended it. Node.js emits
+ * `close` for the first one only, and in a later turn of the event loop.
+ */
 const watchForClose = (socket: Socket): Set<ServerResponse> => {
   const unanswered = new Set<ServerResponse>();
-  socket.once('close', () => unanswered.forEach((res) => res.emit('close')));
+  const endAll = () => unanswered.forEach((res) => res.emit('close'));
+  ['end', 'error', 'close'].forEach((event) => socket.once(event, endAll));
   return unanswered;
 };
 
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -17,6 +17,7 @@
 import {
   deadlineOf,
   hasBody,
+  hasCallerLeft,
   headerValues,
   placementKey,
   requestIdOf,
@@ -25,8 +26,8 @@
 import { serve } from '../requests/serve';
 import type { ServeContext, ServeOutcome } from '../requests/requestExecution';
 import { PriorWaitEstimator } from '../requests/priorWait';
+import { recordCallerLeft } from '../requests/recordCallerLeft';
 import { CREDENTIALS_HEADER } from '../wireProtocol';
-import { AcceptQueue } from './acceptQueue';
 import { admit } from './admit';
 import { CallerConnections } from './callerConnections';
 import { ConfiguredRoutes } from './configuredRoutes';
@@ -43,8 +44,6 @@
 const NO_REGION_RETRY_MS = 5000;
 /** Interval at which Node checks connections for header timeouts, ms. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
-/** Time from which a run of accepted connections is logged, ms: a caller gives a connection up after a second. */
-const LOGGED_ACCEPT_RUN_MS = 250;
 /** Latency metrics are in seconds. */
 const MS_PER_SECOND = 1000;
 
@@ -76,7 +75,7 @@
 
 /** Creates the server; it responds with 503 until a configuration is loaded. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
-  const { clusterState, phase, wire, quotas, metrics, log, now } = options;
+  const { clusterState, phase, wire, quotas, reads, metrics, log, now } = options;
   const connections = new CallerConnections((req) => requestIdOf(req, wire.headers), now);
   const configured = new ConfiguredRoutes(clusterState);
   const priorWait = new PriorWaitEstimator();
@@ -175,6 +174,11 @@
 
   const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const arrivedAt = now();
+    await reads.passed();
+    if (hasCallerLeft(req)) {
+      recordCallerLeft(requestIdOf(req, wire.headers), { sends: 0, arrivedAt }, options);
+      return;
+    }
     const { routes } = configured;
     if (!routes) {
       reject.notRun(res, 'no configuration yet', NO_CONFIGURATION_RETRY_MS);
@@ -212,16 +216,6 @@
       });
     },
   );
-  const acceptQueue = new AcceptQueue(now, (run) => {
-    metrics.acceptRunSeconds.observe(run.ms / MS_PER_SECOND);
-    if (run.ms >= LOGGED_ACCEPT_RUN_MS)
-      log.write('lifecycle', undefined, {
-        event: 'connections waited',
-        accepted: run.connections,
-        ms: Math.round(run.ms),
-      });
-  });
-  acceptQueue.watch(server);
   clusterState.changes.subscribe((change) => {
     if (change.kind === 'configuration') applyLimits(server, change.configuration.limits);
   });
