What is read is bounded in bytes and time, from targets, peers, the store and callers

What was seen (a target that writes until its connection closes): the body of a refusal or of a 421 was read for good, that of an answer past the deadline for as long as the caller stayed; bodies of callers were read for good (route or not), and so were those at the addresses for readiness, directory and peers; responses of the store and of peers were bounded in time, not in bytes.

Cause: 'resume()' and Node's own handling of unread bodies read without a limit, and the time limit of a request ended with the head of a large answer.

A request whose body is not complete at its deadline gets 408, one that is too large 413 at once. An answer must be complete at the deadline, or, if its length is declared and only the caller is slow, when the caller stops waiting. More than 16 interim responses are garbage.

--- a/packages/gateway/src/pace/probePace.ts
+++ b/packages/gateway/src/pace/probePace.ts
@@ -1,4 +1,5 @@
 /** Asks a target's health check for its pace. Not a request: it takes no slot and shows nothing about crashes. */
+import { discardRest } from '@cardamomladder/http-json';
 import type { ProbedTarget } from '../reach/probe';
 import { PROBE_TIMEOUT_MS, openHealthCheck } from '../reach/probe';
 import type { WireProtocol } from '../wireProtocol';
@@ -20,8 +21,7 @@
     }
     const req = opened.value;
     req.on('response', (res) => {
-      res.on('error', () => {});
-      res.resume();
+      discardRest(res);
       const { load } = wire.parseTargetStatement(res.statusCode ?? 0, res.headers);
       resolve(
         load?.pace === undefined ? { kind: 'unstated' } : { kind: 'stated', pace: load.pace },
--- a/packages/gateway/src/peers/server.ts
+++ b/packages/gateway/src/peers/server.ts
@@ -6,7 +6,7 @@
 import { TRPCError } from '@trpc/server';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import { readJson, sendJson } from '@cardamomladder/http-json';
+import { boundRequests, readJson, sendJson } from '@cardamomladder/http-json';
 import { FORWARDED_HEADER } from '../reach/forwardedRequest';
 import type { PeerRouter } from './router';
 
@@ -50,13 +50,15 @@
   router: PeerRouter,
   serveForwarded: (req: IncomingMessage, res: ServerResponse) => void,
 ): Server =>
-  createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (req, res) => {
-    if (req.headers[FORWARDED_HEADER] !== undefined) {
-      serveForwarded(req, res);
-      return;
-    }
-    handleRequest(router, req).then(
-      (data) => sendJson(res, OK, { result: { data } }),
-      (error: Error) => sendError(res, error),
-    );
-  });
+  boundRequests(
+    createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (req, res) => {
+      if (req.headers[FORWARDED_HEADER] !== undefined) {
+        serveForwarded(req, res);
+        return;
+      }
+      handleRequest(router, req).then(
+        (data) => sendJson(res, OK, { result: { data } }),
+        (error: Error) => sendError(res, error),
+      );
+    }),
+  );
--- a/packages/gateway/src/reach/probe.ts
+++ b/packages/gateway/src/reach/probe.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import { Result } from 'neverthrow';
+import { discardRest } from '@cardamomladder/http-json';
 import type { ProbeResult } from './reachMonitor';
 
 /** Response timeout of a probe, ms: more than two trips between any two regions and a short queue. */
@@ -27,8 +28,7 @@
 const isAnswered = (req: ClientRequest): Promise<boolean> =>
   new Promise((resolve) => {
     req.on('response', (res) => {
-      res.on('error', () => {});
-      res.resume();
+      discardRest(res);
       resolve(true);
     });
     req.on('error', () => resolve(false));
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -1,5 +1,6 @@
 /** A caller's request as the gateway handles it: route, identity and deadline. */
 import type { IncomingMessage } from 'node:http';
+import { readBodyInTime } from '@cardamomladder/http-json';
 import type { Customer } from '@cardamomladder/customers';
 import type { Route } from '@cardamomladder/routing';
 import type {
@@ -37,6 +38,8 @@
   arrivedAt: number;
   /** Deadline for the response. */
   deadlineAt: number;
+  /** When the caller stops waiting, however long the route allows. */
+  callerLeavesAt: number;
   /** True if a peer forwarded it, because that one is cut off from all targets. */
   isForwarded?: boolean;
   /** Lower bound of the time that the caller has already waited in earlier attempts, ms. */
@@ -58,9 +61,13 @@
   return Number.isFinite(value) && value > 0 ? value : undefined;
 };
 
+/** When a caller that waits `waitMs` stops waiting. */
+export const callerLeavesAt = (waitMs: number | undefined, arrivedAt: number): number =>
+  arrivedAt + (waitMs ?? DEFAULT_TIMEOUT_MS);
+
 /** Deadline of a request on `route` whose caller waits `waitMs`. */
 export const deadlineOf = (route: Route, waitMs: number | undefined, arrivedAt: number): number =>
-  arrivedAt + Math.min(waitMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs ?? Infinity);
+  Math.min(callerLeavesAt(waitMs, arrivedAt), arrivedAt + (route.timeoutMs ?? Infinity));
 
 /** The caller's id of this attempt; undefined if missing. */
 export const requestIdOf = (req: IncomingMessage, names: HeaderNames): RequestId | undefined => {
@@ -94,3 +101,12 @@
 export const hasBody = (req: IncomingMessage): boolean =>
   req.headers['transfer-encoding'] !== undefined ||
   (req.headers['content-length'] !== undefined && req.headers['content-length'] !== '0');
+
+/** A complete body (undefined if the request has none), or why it was given up. */
+type ReceivedBody = Buffer | undefined | 'too-large' | 'too-late';
+
+/** Reads the body of a request, if it has one, within limits of size and time. */
+export const receiveBody = async (
+  req: IncomingMessage,
+  { maxBytes, maxMs }: { maxBytes: number; maxMs: number },
+): Promise<ReceivedBody> => (hasBody(req) ? readBodyInTime(req, maxBytes, maxMs) : undefined);
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -180,7 +180,9 @@
   const { request, res, ctx } = execution;
   if (outcome.kind === 'answer') {
     execution.recordAnswer();
-    return (await relay(res, outcome)) === 'complete' ? 'answered' : 'failed';
+    const { deadlineAt, callerLeavesAt: deliveredBy } = request;
+    const limits = { now: ctx.now, deadlineAt, deliveredBy };
+    return (await relay(res, outcome, limits)) === 'complete' ? 'answered' : 'failed';
   }
   if (outcome.kind === 'not-run' && !mayHaveRun)
     return rejectNotRun(execution, outcome, destination);
--- a/packages/gateway/src/server/auxiliaryServers.ts
+++ b/packages/gateway/src/server/auxiliaryServers.ts
@@ -1,6 +1,7 @@
 /** Auxiliary HTTP servers: directory, readiness and metrics. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import { boundRequests } from '@cardamomladder/http-json';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type { SocketAddress } from '@cardamomladder/types';
 import type { DirectoryQuery, WireProtocol } from '../wireProtocol';
@@ -40,23 +41,27 @@
       sendText(res, 200, wire.formatDirectoryResponse(addresses, ttlSeconds), 'application/json');
   });
   server.keepAliveTimeout = DIRECTORY_KEEP_ALIVE_MS;
-  return server;
+  return boundRequests(server);
 };
 
 /** Creates the readiness server, which reports whether this instance accepts callers. */
 export const createReadinessServer = (wire: WireProtocol, ready: () => boolean): Server =>
-  createServer((req, res) => {
-    if (urlOf(req)?.pathname !== wire.readinessPath) sendText(res, 404, 'ask for readiness');
-    else if (ready()) sendText(res, 200, 'ready');
-    else sendText(res, 503, 'not ready');
-  });
+  boundRequests(
+    createServer((req, res) => {
+      if (urlOf(req)?.pathname !== wire.readinessPath) sendText(res, 404, 'ask for readiness');
+      else if (ready()) sendText(res, 200, 'ready');
+      else sendText(res, 503, 'not ready');
+    }),
+  );
 
 /** Creates the metrics server; `refresh` updates the gauges before each scrape. */
 export const createMetricsServer = (metrics: GatewayMetrics, refresh: () => void): Server =>
-  createServer((req, res) => {
-    refresh();
-    metrics.registry.metrics().then(
-      (text) => sendText(res, 200, text, metrics.registry.contentType),
-      (error: Error) => sendText(res, 500, error.message),
-    );
-  });
+  boundRequests(
+    createServer((req, res) => {
+      refresh();
+      metrics.registry.metrics().then(
+        (text) => sendText(res, 200, text, metrics.registry.contentType),
+        (error: Error) => sendText(res, 500, error.message),
+      );
+    }),
+  );
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { BehaviorSubject } from 'rxjs';
+import { closeUnlessReceived } from '@cardamomladder/http-json';
 import type { Phase } from '../lifecycle/phase';
 
 interface CallerSocket extends Socket {
@@ -60,6 +61,7 @@
     const { unanswered } = socket;
     unanswered.add(res);
     this.open.add(request);
+    res.once('finish', () => closeUnlessReceived(req));
     res.once('close', () => {
       unanswered.delete(res);
       this.open.delete(request);
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -6,7 +6,6 @@
 import type { ClusterState } from '@cardamomladder/fleet';
 import type { Customer, Identity } from '@cardamomladder/customers';
 import { identify, intersectHomeRegions } from '@cardamomladder/customers';
-import { readBody } from '@cardamomladder/http-json';
 import type { CallerLimits, Route } from '@cardamomladder/routing';
 import { tracer } from '@cardamomladder/telemetry';
 import type { InstanceId } from '@cardamomladder/types';
@@ -15,11 +14,12 @@
 import { sendGatewayResponse } from '../requests/responses';
 import type { CallerRequest } from '../requests/callerRequest';
 import {
+  callerLeavesAt,
   deadlineOf,
-  hasBody,
   hasCallerLeft,
   headerValues,
   placementKey,
+  receiveBody,
   requestIdOf,
   requestedTimeoutMs,
 } from '../requests/callerRequest';
@@ -86,11 +86,6 @@
     const credentials = wire.parseCredentials(headerValues(req, CREDENTIALS_HEADER));
     return identify(configured.customers, credentials, route.isPublic);
   };
-  const readBodyIfPresent = async (
-    req: IncomingMessage,
-    max: number,
-  ): Promise<Buffer | undefined | 'too-large'> => (hasBody(req) ? readBody(req, max) : undefined);
-
   const recordOutcome = (request: CallerRequest, outcome: ServeOutcome): void => {
     const ms = now() - request.arrivedAt;
     metrics.requestSeconds.observe({ kind: request.route.kind, outcome }, ms / MS_PER_SECOND);
@@ -121,7 +116,16 @@
       reject.malformed(res, id, `the request head is over ${limits.headerBytes} bytes; send less`);
       return;
     }
-    const body = await readBodyIfPresent(req, limits?.bodyBytes ?? MAX_HEAD_BYTES);
+    const waitMs = requestedTimeoutMs(req, wire.headers);
+    const deadlineAt = deadlineOf(route, waitMs, arrivedAt);
+    const body = await receiveBody(req, {
+      maxBytes: limits?.bodyBytes ?? MAX_HEAD_BYTES,
+      maxMs: deadlineAt - now(),
+    });
+    if (body === 'too-late') {
+      reject.bodyIncomplete(res, id, deadlineAt - arrivedAt);
+      return;
+    }
     if (body === 'too-large') {
       log.write('malformed', id, { message: 'body too large', most: limits?.bodyBytes });
       sendGatewayResponse(res, {
@@ -145,7 +149,6 @@
       reject.overLimit(res, id, customer, admission.retryAfterMs);
       return;
     }
-    const waitMs = requestedTimeoutMs(req, wire.headers);
     const request: CallerRequest = {
       id,
       caller: req.socket.remoteAddress ?? '',
@@ -161,7 +164,8 @@
       key: placementKey(req, wire.headers, route.name, id),
       body,
       arrivedAt,
-      deadlineAt: deadlineOf(route, waitMs, arrivedAt),
+      deadlineAt,
+      callerLeavesAt: callerLeavesAt(waitMs, arrivedAt),
       waitedBeforeMs: waitMs === undefined ? 0 : priorWait.estimate(route.name, waitMs),
     };
     const span = spans.startSpan('gateway.request', { kind: SpanKind.SERVER });
--- a/packages/gateway/src/server/forwardedServer.ts
+++ b/packages/gateway/src/server/forwardedServer.ts
@@ -7,7 +7,6 @@
 import type { BehaviorSubject } from 'rxjs';
 import { SpanKind } from '@opentelemetry/api';
 import { intersectHomeRegions } from '@cardamomladder/customers';
-import { readBody } from '@cardamomladder/http-json';
 import type { Route } from '@cardamomladder/routing';
 import { tracer } from '@cardamomladder/telemetry';
 import type { InstanceId, RequestId } from '@cardamomladder/types';
@@ -21,10 +20,11 @@
 } from '../reach/forwardedRequest';
 import type { CallerRequest } from '../requests/callerRequest';
 import {
+  callerLeavesAt,
   deadlineOf,
-  hasBody,
   headerValues,
   placementKey,
+  receiveBody,
   requestIdOf,
   requestedTimeoutMs,
 } from '../requests/callerRequest';
@@ -39,6 +39,8 @@
 
 /** Body size limit before the first configuration; requests are rejected then anyway. */
 const MAX_BODY_BYTES = 64 * 1024;
+/** Time within which a peer sends a body that it holds completely, ms: the largest one over a link of 10 Mbit/s. */
+const MAX_BODY_MS = 1000;
 /** Retry delay if this instance has a different configuration than the peer, ms: they have the same one a moment later. */
 const OTHER_CONFIGURATION_RETRY_MS = 200;
 
@@ -73,6 +75,7 @@
     const homeRegions = intersectHomeRegions(route.homeRegions, customer?.homeRegions ?? []);
     if (homeRegions === 'nowhere') return undefined;
     const arrivedAt = now();
+    const waitMs = requestedTimeoutMs(req, wire.headers);
     return {
       id,
       caller: forwarded.caller,
@@ -88,7 +91,8 @@
       key: placementKey(req, wire.headers, route.name, id),
       body,
       arrivedAt,
-      deadlineAt: deadlineOf(route, requestedTimeoutMs(req, wire.headers), arrivedAt),
+      deadlineAt: deadlineOf(route, waitMs, arrivedAt),
+      callerLeavesAt: callerLeavesAt(waitMs, arrivedAt),
       isForwarded: true,
       waitedBeforeMs: forwarded.waitedBeforeMs,
     };
@@ -105,7 +109,7 @@
     }
     res.setHeader(wire.headers.requestId, id);
     const maxBytes = configured.limits?.bodyBytes ?? MAX_BODY_BYTES;
-    const body = hasBody(req) ? await readBody(req, maxBytes) : undefined;
+    const body = await receiveBody(req, { maxBytes, maxMs: MAX_BODY_MS });
     const route = configured.routes?.(req.headers.host ?? '', req.url ?? '/');
     const isServing = phase.value === 'serving' || phase.value === 'leaving';
     if (decoded.value.to !== self || !isServing) {
@@ -115,7 +119,9 @@
       return;
     }
     const request =
-      route && body !== 'too-large' ? toRequest(req, id, route, decoded.value, body) : undefined;
+      route && body !== 'too-large' && body !== 'too-late'
+        ? toRequest(req, id, route, decoded.value, body)
+        : undefined;
     if (!request) {
       rejectNotRun(res, 'this instance has another configuration', OTHER_CONFIGURATION_RETRY_MS);
       return;
--- a/packages/gateway/src/server/rejections.ts
+++ b/packages/gateway/src/server/rejections.ts
@@ -49,6 +49,14 @@
       log.write('malformed', id, { message });
       sendGatewayResponse(res, { status: 400, message });
     },
+    /** The body of the request was not complete at its deadline (408). */
+    bodyIncomplete: (res: ServerResponse, id: string, allowedMs: number): void => {
+      log.write('malformed', id, { message: 'body incomplete at the deadline', allowedMs });
+      sendGatewayResponse(res, {
+        status: 408,
+        message: `not run: the body was not complete after ${Math.round(allowedMs)} ms`,
+      });
+    },
     /** The request has no valid credentials (401). */
     unknownCaller: (
       req: IncomingMessage,
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -7,6 +7,7 @@
 import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import { Result } from 'neverthrow';
+import { discardRest } from '@cardamomladder/http-json';
 import type { HeaderNames, LoadReport, TargetStatement, WireProtocol } from '../wireProtocol';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { TargetConnections } from './connections';
@@ -80,6 +81,8 @@
 const WRONG_TARGET = 421;
 /** Reasons for which nothing was sent, so that the connection is of no use. */
 const UNSENT_REASONS: ReadonlySet<NotRunReason> = new Set(['unreachable', 'unsendable']);
+/** Number of interim responses (1xx) to one request from which they are taken for garbage. */
+const MAX_INTERIM_RESPONSES = 16;
 /** Lower numbers are no status, and can't be passed on. */
 const FIRST_STATUS = 100;
 
@@ -185,8 +188,7 @@
     if (notRun) {
       // A statement from the wrong target doesn't apply to the intended one.
       if (notRun === 'rejected') options.onStatement(statement, 'refusal');
-      response.resume();
-      response.on('error', () => {});
+      discardRest(response);
       const otherPeer = response.headers[CUT_OFF_HEADER] as string | undefined;
       finish({ kind: 'not-run', reason: notRun, load, restMs, otherPeer });
       return;
@@ -234,6 +236,11 @@
       clearTimeout(connectTimer);
     });
   });
+  let interimResponses = 0;
+  request.on('information', () => {
+    interimResponses += 1;
+    if (interimResponses > MAX_INTERIM_RESPONSES) finish({ kind: 'lost', reason: 'garbled' });
+  });
   request.on('response', (response) => {
     try {
       handleResponse(response);
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -1,6 +1,7 @@
-export { BodyError, MAX_JSON_BYTES, readBody, readJson, sendJson } from './server';
+export { BodyError, MAX_JSON_BYTES, readBody, readBodyInTime, readJson, sendJson } from './server';
 export type { Transfer, TransferLimits } from './transferLimits';
 export { TransferTooLong, limitTransfer, whileProgressing, withinMs } from './transferLimits';
+export { boundRequests, closeUnlessReceived, discardRest } from './unreadRest';
 export { isHeaderToken, toHeaderValue, toRequestPath } from './wireText';
 export type { JsonResponse, TransportError } from './client';
 export { callJson } from './client';
--- a/packages/http-json/src/server.ts
+++ b/packages/http-json/src/server.ts
@@ -4,10 +4,13 @@
 /** Maximum size of a JSON body: the platform stores values of up to a megabyte, plus framing. */
 export const MAX_JSON_BYTES = 1_200_000;
 
+/** Time within which a JSON body is complete, ms: the largest one over a link of 10 Mbit/s, three times. */
+const MAX_JSON_MS = 3000;
+
 /** Thrown by `readJson` for a body that is too large or not JSON; `status` is the response status. */
 export class BodyError extends Error {
   constructor(
-    readonly status: 400 | 413,
+    readonly status: 400 | 408 | 413,
     message: string,
   ) {
     super(message);
@@ -15,25 +18,47 @@
 }
 
 /**
- * Reads the whole request body; resolves with `too-large` if it exceeds `limit`
- * bytes. The rest of an oversized body is read and discarded, so that the
- * error response can still be sent on the connection.
+ * Reads the whole request body; resolves with `too-large` as soon as it exceeds `limit`
+ * bytes. The rest of an oversized body is not kept; it may never end, so that the
+ * connection is to be closed some time after the response (`closeUnlessReceived`).
  */
 export const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | 'too-large'> =>
   new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let size = 0;
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size <= limit) chunks.push(chunk);
+      else {
+        chunks = [];
+        resolve('too-large');
+      }
     });
-    req.on('end', () => resolve(size > limit ? 'too-large' : Buffer.concat(chunks)));
+    req.on('end', () => resolve(Buffer.concat(chunks)));
     req.on('error', reject);
   });
 
-/** Reads the request body as JSON; rejects with `BodyError` when it is too large or malformed. */
+/** Reads the whole request body as `readBody` does; resolves with `too-late` if it is not complete after `maxMs`. */
+export const readBodyInTime = async (
+  req: IncomingMessage,
+  limit: number,
+  maxMs: number,
+): Promise<Buffer | 'too-large' | 'too-late'> => {
+  let timer: NodeJS.Timeout | undefined;
+  const tooLate = new Promise<'too-late'>((resolve) => {
+    timer = setTimeout(() => resolve('too-late'), maxMs);
+  });
+  try {
+    return await Promise.race([readBody(req, limit), tooLate]);
+  } finally {
+    clearTimeout(timer);
+  }
+};
+
+/** Reads the request body as JSON; rejects with `BodyError` when it is too large, too slow or malformed. */
 export const readJson = async (req: IncomingMessage, limit = MAX_JSON_BYTES): Promise<unknown> => {
-  const body = await readBody(req, limit);
+  const body = await readBodyInTime(req, limit, MAX_JSON_MS);
+  if (body === 'too-late') throw new BodyError(408, `body is not complete after ${MAX_JSON_MS} ms`);
   if (body === 'too-large')
     throw new BodyError(413, `body is over ${limit} bytes; send a smaller one`);
   if (body.length === 0) return undefined;
--- a/packages/http-json/src/transferLimits.ts
+++ b/packages/http-json/src/transferLimits.ts
@@ -8,6 +8,9 @@
 /** Maximum duration of a response after its head, ms: 6 MB over a link of 10 Mbit/s. */
 const MAX_BODY_MS = 5000;
 
+/** Maximum size of a response, bytes: more than all records of the largest deployment. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
 /** Time limits of one response, ms. */
 export interface TransferLimits {
   /** Until its head arrives. */
@@ -39,10 +42,10 @@
   totalMs: waitMs + silenceMs + MAX_BODY_MS,
 });
 
-/** A response that made progress but was not complete within its total limit: requested again, it would be no smaller. */
+/** A response that made progress but was not complete within its total time or size: requested again, it would be no smaller. */
 export class TransferTooLong extends Error {}
 
-/** Calls `onTimeout` with the reason when the response exceeds a limit, `onReceived` when it is complete. */
+/** Calls `onTimeout` with the reason when the response exceeds a limit of time or size, `onReceived` when it is complete. */
 export const limitTransfer = (
   req: ClientRequest,
   { headMs, silenceMs, totalMs }: TransferLimits,
@@ -83,7 +86,8 @@
     restart();
     res.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      restart();
+      if (bytes <= MAX_RESPONSE_BYTES) restart();
+      else if (!isClosed) onTimeout(new TransferTooLong(`incomplete after ${bytes} bytes`));
     });
     res.on('end', () => {
       if (res.complete) onReceived({ bytes, ms: Math.round(performance.now() - headAt) });
