Soak: callers that leave, late instances and bytes without end

What targets and callers observe is checked: nothing of a caller that left reaches a target over half a second later, also from an instance that was late; no target works on over half a second; no connection on which bytes come without end stays open.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -5,10 +5,12 @@
 export type { PlannedFault } from './plan';
 export {
   FAULT_KINDS,
+  LEAVING_KINDS,
   NARROW_LINK_KINDS,
   PARTITION_KINDS,
   SLOW_TARGET_KINDS,
   planFaults,
+  planLeavingCallers,
   planNarrowLinks,
   planPartitions,
   planSlowTargets,
@@ -22,6 +24,8 @@
 } from './guarantees';
 export { GuaranteeChecker, STORE, storePathOf } from './guarantees';
 export { TargetSignalChecker } from './targetSignals';
+export type { EndlessConnection } from './leavingCallers';
+export { LeavingCallerChecker } from './leavingCallers';
 export { FaultHistory } from './faultHistory';
 export { PartitionChecker } from './partitions';
 export { RepeatChecker } from './repeats';
--- a/packages/soak/src/partitions.ts
+++ b/packages/soak/src/partitions.ts
@@ -43,6 +43,16 @@
     };
   }
 
+  /** True if an instance was partitioned at any time from `from` to `to`, or shortly before. */
+  isPartitioned(instance: string, from: number, to: number): boolean {
+    return this.partitions.some(
+      (partition) =>
+        partition.instances.includes(instance) &&
+        partition.from <= to &&
+        partition.to + SETTLE_MS >= from,
+    );
+  }
+
   /** Records the start of something that is no fault but may reduce what can be served. */
   beginDisturbance(now: number): (at: number) => void {
     const disturbance = { from: now, to: Infinity };
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -53,12 +53,21 @@
 /** Targets that are slow for seconds and state it. */
 export const SLOW_TARGET_KINDS = ['target-states-pace'] as const;
 
+/** Callers that leave before they are answered, instances that are late, and bytes without end. */
+export const LEAVING_KINDS = [
+  'callers-leave',
+  'instance-late',
+  'target-sends-without-end',
+  'caller-sends-without-end',
+] as const;
+
 export interface PlannedFault {
   kind: (
     | typeof FAULT_KINDS
     | typeof PARTITION_KINDS
     | typeof NARROW_LINK_KINDS
     | typeof SLOW_TARGET_KINDS
+    | typeof LEAVING_KINDS
   )[number];
   atMs: number;
   forMs: number;
@@ -149,3 +158,23 @@
     return { kind, atMs, forMs: Math.min(forMs, totalMs - atMs), which: random() };
   }).sort((a, b) => a.atMs - b.atMs);
 };
+
+/** Separates the callers that leave of a seed from its other faults, whose plan stays as it is. */
+const LEAVING_SEED_OFFSET = 3_000_017;
+const MIN_LEAVING = 6;
+const MAX_LEAVING = 16;
+
+/** Returns callers that leave, late instances and bytes without end of a seed; many overlap. */
+export const planLeavingCallers = (seed: number, totalMs: number): PlannedFault[] => {
+  const random = seededRandom(Math.imul(seed + LEAVING_SEED_OFFSET, SEED_MULTIPLIER));
+  const count = MIN_LEAVING + Math.floor(random() * (MAX_LEAVING - MIN_LEAVING + 1));
+  return Array.from({ length: count }, (): PlannedFault => {
+    // Half of them are callers that leave, so that these overlap with all others.
+    const kind =
+      random() < 0.5
+        ? 'callers-leave'
+        : LEAVING_KINDS[1 + Math.floor(random() * (LEAVING_KINDS.length - 1))];
+    const forMs = MIN_DURATION_MS + random() * (MAX_DURATION_MS - MIN_DURATION_MS);
+    return { kind, atMs: random() * (totalMs - forMs), forMs, which: random() };
+  }).sort((a, b) => a.atMs - b.atMs);
+};
