A request whose connection opened late is confirmed before it is written

What targets saw: with as many connections to a target as allowed, a request waits for one in Node's agent and is written when a response frees it, before its caller's close is read: 3 of 6 requests reached the target over half a second after their callers had left while the event loop was blocked. The same holds for a new connection that opens late, which the test could not bring about on loopback (only suspected).

Cause: the barrier was passed when the send was started, not when it was written. Change: a request is written when its connection is there; if that took over 100 ms, which is above the round trip between any two regions, it passes the barrier once more.

Test: callersThatLeave.test.ts > ... waited for a connection to a target; failed before, passes now.

--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -56,6 +56,7 @@
     body: request.body,
     requestId: request.id,
     timeoutMs: request.deadlineAt - sentAt,
+    confirm: () => execution.endedBeforeSend(),
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     connections: peer.connections,
     wire: ctx.wire,
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -140,6 +140,7 @@
     body: request.body,
     requestId: request.id,
     timeoutMs: request.deadlineAt - sentAt,
+    confirm: () => execution.endedBeforeSend(),
     connections,
     wire: ctx.wire,
     onStatement: (statement, source) => applyStatement({ statement, source, sentAt }, placed, ctx),
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -39,6 +39,8 @@
   onStatement: (statement: TargetStatement, source: ResponseSource) => void;
   /** Called if the request opens a new connection. */
   onNewConnection?: () => void;
+  /** Resolves when it is known again whether the request is wanted; called before it is written to a connection that opened late. */
+  confirm?: () => Promise<unknown>;
 }
 
 /** Reason why a request is known not to have run. */
@@ -78,6 +80,8 @@
   cancel: (reason: LostReason) => void;
 }
 
+/** Time after the send's start from which it is asked again whether the request is wanted, ms: above the round trip between any two regions. */
+const CONFIRM_AFTER_MS = 100;
 const WRONG_TARGET = 421;
 /** Reasons for which nothing was sent, so that the connection is of no use. */
 const UNSENT_REASONS: ReadonlySet<NotRunReason> = new Set(['unreachable', 'unsendable']);
@@ -221,9 +225,24 @@
     response.on('aborted', () => finish({ kind: 'lost', reason: 'closed' }));
   };
 
+  const startedAt = performance.now();
+  const write = (): void => {
+    if (settled) return;
+    connected = true;
+    try {
+      request.end(options.body);
+    } catch (error) {
+      finish(unsendableOutcome(error as Error));
+    }
+  };
+  const writeIfWanted = (): void => {
+    if (options.confirm && performance.now() - startedAt > CONFIRM_AFTER_MS)
+      options.confirm().then(write, write);
+    else write();
+  };
   request.on('socket', (socket) => {
     if (!socket.connecting) {
-      connected = true;
+      writeIfWanted();
       return;
     }
     options.onNewConnection?.();
@@ -232,8 +251,8 @@
       options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
     );
     socket.once('connect', () => {
-      connected = true;
       clearTimeout(connectTimer);
+      writeIfWanted();
     });
   });
   let interimResponses = 0;
@@ -254,11 +273,6 @@
     finish({ kind: 'lost', reason: 'closed' });
   });
   request.on('close', () => finish({ kind: 'lost', reason: 'closed' }));
-  try {
-    request.end(options.body);
-  } catch (error) {
-    finish(unsendableOutcome(error as Error));
-  }
 
   return {
     outcome,
