--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -13,12 +13,12 @@
 import type { TargetRegistry } from '../targets/registry';
 import { consumeRateLimit } from './chooseRetry';
 import { QUARANTINE_RETRY_AFTER_MS } from './crashEvidence';
-import type { Destination, DestinationChoice } from './destination';
+import type { DestinationChoice } from './destination';
 import { chooseDestination } from './destination';
+import type { Admitted, Refusal, StartSend } from './firstSend';
 import { hasNews } from './placeable';
 import type { ReadBarrier } from './readBarrier';
 import type { RequestExecution } from './requestExecution';
-import type { Send } from './send';
 
 /** Dependencies of the admission. */
 export interface AdmissionOptions {
@@ -29,30 +29,6 @@
   now: () => number;
 }
 
-/** The first send of a request, started at the moment at which its destination is chosen. */
-export interface FirstSend {
-  kind: 'sent';
-  destination: Destination;
-  send: Send;
-}
-
-/** Why a request is not sent, when its caller may return, and what that was decided from. */
-export interface Refusal {
-  kind: 'rejected';
-  reason: string;
-  retryAfterMs: number;
-  admission?: {
-    expectedWaitMs: number | undefined;
-    ahead: number;
-    waitedMs: number;
-    turn: 'given' | 'none-left';
-    caller: 'returned' | 'new';
-  };
-}
-
-/** Sends the request; called in the same turn of the event loop as the choice, so that the next choice counts it. */
-type StartSend = (execution: RequestExecution, destination: Destination) => Send;
-
 /** A request that waits. */
 interface Held {
   /** Tries to place it; returns true if it waits no longer. */
@@ -60,7 +36,6 @@
   refuse: () => void;
 }
 
-type Admitted = FirstSend | Refusal;
 interface ServiceState {
   admission: ServiceAdmission<Held>;
   triedAt: number;
