--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,155 +1,138 @@
 /* eslint-disable import-x/extensions -- Node.js needs the extension of a module that isn't built */
 /**
- * One client uploads a body of 40 MB in chunks of 20 bytes, within the configured limits, while
- * others look things up on kept connections through the same instance.
+ * Bookings on kept connections, while some upstreams answer a few of them with a body without end,
+ * in chunks of one byte.
  */
-import { readFile } from 'node:fs/promises';
-import { answerWhole, startUpstream } from '../lib-2/upstream.mjs';
+import { answerHeaders, answerWhole, startUpstream } from '../lib-2/upstream.mjs';
 import { HOST, TROUBLE, configuration, route, runCase } from '../lib-2/case.mjs';
-import { openConnection, requestHead, send } from '../lib-2/client.mjs';
+import { openConnection, send } from '../lib-2/client.mjs';
 import { resolveZone, sleep, startInstances } from '../lib-2/instance.mjs';
 import { startStore } from '../lib-2/store.mjs';
 
 const ZONES = ['hamilton-a', 'christchurch-a'];
-const UPLOAD_BYTES = 40_000_000;
-/** The same bytes in chunks of 20 kB when there is no disruption. */
-const CHUNK_BYTES = TROUBLE ? 20 : 20_000;
-const BYTES_PER_WRITE = 40_000;
-const UPLOAD_DEADLINE_MS = 30_000;
-const LOOKUP_CLIENTS = 40;
+/** Upstreams that send bodies without end, of five, and every how many of their answers: 2/5 and 1/20. */
+const FAULTY_UPSTREAMS = 2;
+const ENDLESS_EVERY = 20;
+const FAULT_MS = 5000;
+const AFTER_MS = 12_000;
+const CLIENTS = 60;
 /** Between the starts of two clients, so that their requests are spread evenly. */
-const STAGGER_MS = 37;
-const LOOKUP_WORK_MS = 800;
+const STAGGER_MS = 23;
+const WORK_MS = 800;
 const CALM_MS = 4000;
-/** How long the uploads may take. */
-const PLAY_MS = 40_000;
-const SETTLE_MS = 2000;
+/** The route's timeout, and the deadline that clients send. */
+const TIMEOUT_MS = 10_000;
+const CHUNKS_PER_WRITE = 4000;
+const CHUNKS = '1\r\nx\r\n'.repeat(CHUNKS_PER_WRITE);
 /** LOST allows three. */
 const ALLOWED_LOST = 3;
 
-const memoryMb = async ({ child }) => {
-  const text = await readFile(`/proc/${child.pid}/status`, 'utf8');
-  return Math.round(Number(/VmHWM:\s+(\d+)/.exec(text)?.[1] ?? 0) / 1024);
-};
-
-/** Writes the body in chunks. */
-const writeBody = async (connection) => {
-  const { socket } = connection;
-  const chunk = `${CHUNK_BYTES.toString(16)}\r\n${'x'.repeat(CHUNK_BYTES)}\r\n`;
-  const part = chunk.repeat(BYTES_PER_WRITE / CHUNK_BYTES);
-  for (let sent = 0; sent < UPLOAD_BYTES && connection.isOpen(); sent += BYTES_PER_WRITE) {
-    if (!socket.write(part))
-      await new Promise((done) => {
-        socket.once('drain', done);
-        socket.once('close', done);
-      });
-  }
-  socket.write('0\r\n\r\n');
+/** Writes chunks for as long as the connection is open. */
+const writeWithoutEnd = (socket) => {
+  const writeMore = () => {
+    while (!socket.destroyed && socket.write(CHUNKS));
+  };
+  socket.on('drain', writeMore);
+  writeMore();
 };
 
 await runCase(import.meta.dirname, async (note, closing) => {
   const store = await startStore();
   closing.push(store.close);
-  const answer = (upstream, req, res, run) => answerWhole(upstream, req, res, Buffer.from(run.id));
+  let isFaulty = false;
+  let endless = 0;
+  const isFaultyUpstream = (number) => TROUBLE && number < FAULTY_UPSTREAMS;
+  const answer = (number) => {
+    let count = 0;
+    return (upstream, req, res, run) => {
+      count += isFaulty ? 1 : 0;
+      if (!isFaulty || !isFaultyUpstream(number) || count % ENDLESS_EVERY !== 0) {
+        answerWhole(upstream, req, res, Buffer.from(`booked ${run.id}`));
+        return;
+      }
+      endless += 1;
+      const headers = Object.entries(answerHeaders(upstream, req));
+      const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join('');
+      req.socket.write(`HTTP/1.1 200 OK\r\n${lines}Transfer-Encoding: chunked\r\n\r\n`);
+      writeWithoutEnd(req.socket);
+    };
+  };
   const upstreams = await Promise.all(
-    ['roster', 'gatebook'].flatMap((service) =>
-      ZONES.flatMap((zone) =>
-        [1, 2].map((number) =>
-          startUpstream(store, {
-            id: `i-${service}-${zone}-${number}`,
-            service,
-            zone,
-            slots: 16,
-            queue: 16,
-            workMs: LOOKUP_WORK_MS,
-            answer,
-          }),
-        ),
-      ),
+    Array.from({ length: 5 }, (_, i) =>
+      startUpstream(store, {
+        id: `i-gatebook-${i + 1}`,
+        service: 'gatebook',
+        zone: ZONES[i % 2],
+        slots: 16,
+        queue: 16,
+        workMs: WORK_MS,
+        answer: answer(i),
+      }),
     ),
   );
   closing.push(() => upstreams.forEach((upstream) => upstream.close()));
-  const routes = [
-    route('lookup', 'idempotent', 'roster'),
-    route('signin', 'non_idempotent', 'gatebook', { TimeoutMs: UPLOAD_DEADLINE_MS }),
-  ];
-  store.put('op/config', configuration(routes, ['roster', 'gatebook']));
+  const routes = [route('signin', 'non_idempotent', 'gatebook', { TimeoutMs: TIMEOUT_MS })];
+  store.put('op/config', configuration(routes, ['gatebook']));
   const instances = await startInstances(store, ZONES, closing);
-  const [first] = instances;
   note(`ready: ${instances.map(({ id }) => id).join(', ')}`);
-  const [address] = await resolveZone(first, HOST, ZONES[0]);
 
-  let isOver = false;
+  const until = performance.now() + CALM_MS + FAULT_MS + AFTER_MS;
   const answers = [];
-  const lookUp = async (number) => {
+  const client = async (number) => {
     await sleep(number * STAGGER_MS);
+    const instance = instances[number % 2];
+    const [address] = await resolveZone(instance, HOST, instance.zone);
     let connection = openConnection(address);
-    for (let i = 0; !isOver && !first.exit; i += 1) {
+    for (let i = 0; performance.now() < until && !instance.exit; i += 1) {
       if (!connection.isOpen()) connection = openConnection(address);
-      const id = `look-${number}-${i}`;
-      const sentAt = performance.now();
-      const got = await send(connection, {
-        path: `/lookup/${id}`,
+      const id = `book-${number}-${i}`;
+      const request = {
+        method: 'POST',
+        path: `/signin/${id}`,
         host: HOST,
         id,
-        deadlineMs: 4000,
-      });
-      answers.push({ id, sentAt, ...got });
+        deadlineMs: TIMEOUT_MS,
+      };
+      const got = await send(connection, request, Buffer.from('booking'));
+      answers.push({ id, ...got });
     }
     connection.close();
   };
-  const lookups = Promise.all(Array.from({ length: LOOKUP_CLIENTS }, (_, i) => lookUp(i)));
+  const clients = Promise.all(Array.from({ length: CLIENTS }, (_, i) => client(i)));
   await sleep(CALM_MS);
-  note(`memory of ${first.id} at most ${await memoryMb(first)} MB so far`);
-  note(`one client uploads ${UPLOAD_BYTES} bytes in chunks of ${CHUNK_BYTES}`);
-  const uploadAt = performance.now();
-  const upload = openConnection(address);
-  const uploaded = upload.expect();
-  upload.socket.write(
-    requestHead({
-      method: 'POST',
-      path: '/signin/1',
-      host: HOST,
-      id: 'upload-1',
-      deadlineMs: UPLOAD_DEADLINE_MS,
-      headers: { 'Transfer-Encoding': 'chunked' },
-    }),
-  );
-  const written = writeBody(upload);
-  const result = await Promise.race([uploaded, sleep(PLAY_MS).then(() => undefined)]);
-  const uploadMs = Math.round(performance.now() - uploadAt);
+  isFaulty = true;
+  const faultyAt = performance.now();
   note(
-    `upload after ${uploadMs} ms: ${result ? `${result.status}, ${result.closed ?? 'open'}` : 'no answer'}`,
+    `for ${FAULT_MS} ms: ${TROUBLE ? `one answer in ${ENDLESS_EVERY} of upstreams 1 and 2 has no end` : 'calm'}`,
   );
-  await sleep(SETTLE_MS);
-  isOver = true;
-  upload.close();
-  await Promise.all([written, lookups]);
+  await Promise.race([sleep(FAULT_MS), clients]);
+  isFaulty = false;
+  await clients;
 
   const runs = upstreams.flatMap((upstream) => upstream.runs);
-  const uploads = runs.filter(({ id }) => id === 'upload-1');
-  note(
-    `the upload ran ${uploads.length} times, with ${uploads.map((run) => run.bytes).join(', ') || 'no'} bytes`,
-  );
+  const runOf = new Map(runs.map((run) => [run.id, run]));
+  const soundIds = new Set(upstreams.filter((_, i) => !isFaultyUpstream(i)).map(({ id }) => id));
+  const count = (status) => answers.filter((each) => each.status === status).length;
   note(
-    `lookups: ${answers.filter(({ status }) => status === 200).length} of ${answers.length} answered with 200`,
+    `sent ${answers.length}: ${count(200)} with 200, ${count(502)} with 502, ${count(503)} with 503, ${count(504)} with 504, ${count(0)} without an answer; bodies without end ${endless}`,
   );
-  const ran = new Set(runs.map(({ id }) => id));
-  const lost = answers.filter(({ id, status }) => status === 0 && ran.has(id));
-  if (first.exit) {
-    const { code, signal, at } = first.exit;
+  instances.forEach(({ id, exit, output }) => {
+    if (!exit) return;
     note(
-      `${first.id} ended by itself ${Math.round(at - uploadAt)} ms after the upload began: code ${code}, signal ${signal}`,
+      `${id} ended by itself ${Math.round(exit.at - faultyAt)} ms after the fault began: code ${exit.code}, signal ${exit.signal}`,
     );
-    const fatal = first
-      .output()
+    output()
       .split('\n')
-      .filter((line) => line.includes('FATAL'));
-    fatal.forEach((line) => note(line));
-  } else note(`memory of ${first.id} at most ${await memoryMb(first)} MB`);
+      .filter((line) => line.includes('FATAL'))
+      .forEach((line) => note(line));
+  });
+  const lost = answers.filter(
+    ({ id, status }) => status === 0 && soundIds.has(runOf.get(id)?.upstream),
+  );
+  note(`lost at sound upstreams: ${lost.length}`);
   return lost.length > ALLOWED_LOST
     ? [
-        `LOST: ${lost.length} lookups were passed on to sound upstreams, and their kept connections closed without an answer`,
+        `LOST: ${lost.length} bookings were passed on to upstreams 3 to 5, which are sound, and their kept connections closed without an answer`,
       ]
     : [];
 });
