--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -4,7 +4,7 @@
  * in chunks of one byte.
  */
 import { answerHeaders, answerWhole, startUpstream } from '../lib-2/upstream.mjs';
-import { HOST, TROUBLE, configuration, route, runCase } from '../lib-2/case.mjs';
+import { HOST, TROUBLE, configuration, noteTraffic, route, runCase } from '../lib-2/case.mjs';
 import { openConnection, send } from '../lib-2/client.mjs';
 import { resolveZone, sleep, startInstances } from '../lib-2/instance.mjs';
 import { startStore } from '../lib-2/store.mjs';
@@ -93,8 +93,7 @@
         id,
         deadlineMs: TIMEOUT_MS,
       };
-      const got = await send(connection, request, Buffer.from('booking'));
-      answers.push({ id, ...got });
+      answers.push(await send(connection, request, Buffer.from('booking')));
     }
     connection.close();
   };
@@ -110,6 +109,7 @@
   await clients;
 
   const runs = upstreams.flatMap((upstream) => upstream.runs);
+  noteTraffic(note, answers, runs);
   const runOf = new Map(runs.map((run) => [run.id, run]));
   const soundIds = new Set(upstreams.filter((_, i) => !isFaultyUpstream(i)).map(({ id }) => id));
   const count = (status) => answers.filter((each) => each.status === status).length;
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -43,13 +43,28 @@
   },
 });
 
+/** Notes what was sent and answered, and what the upstreams ran. */
+export const noteTraffic = (note, answers, runs) => {
+  answers.forEach(({ id, status, closed, sentAt, answeredAt }) => {
+    note(`${id} is sent`, sentAt);
+    const end = status ? `answered with ${status}` : `without an answer (${closed ?? 'left'})`;
+    note(`${id} ends ${end}`, answeredAt);
+  });
+  runs.forEach(({ id, upstream, bytes, at, endedAt, finished }) => {
+    note(`${id} runs at upstream ${upstream} (body of ${bytes} bytes)`, at);
+    const end = finished ? 'has run' : 'is broken off';
+    if (endedAt !== undefined) note(`${id} ${end} at upstream ${upstream}`, endedAt);
+  });
+};
+
 /** Runs `play`, which gets a `note` function and a list for what is to be closed, and returns the breaches. */
 export const runCase = async (folder, play) => {
   const lines = [];
   const startedAt = performance.now();
-  const note = (text) => {
-    const at = ((performance.now() - startedAt) / 1000).toFixed(3);
-    lines.push(`${at.padStart(8)} s  ${text}`);
+  const note = (text, at = performance.now()) => lines.push({ at, text });
+  const textOf = ({ at, text }) => {
+    const seconds = ((at - startedAt) / 1000).toFixed(3);
+    return `${seconds.padStart(8)} s  ${text}`;
   };
   const closing = [];
   let code = 2;
@@ -77,7 +92,8 @@
   }
   await closeAll();
   note(`exit ${code}`);
-  await writeFile(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
-  console.log(lines.slice(-12).join('\n'));
+  const sorted = [...lines].sort((one, other) => one.at - other.at).map(textOf);
+  await writeFile(join(folder, 'record.txt'), `${sorted.join('\n')}\n`);
+  console.log(sorted.slice(-12).join('\n'));
   process.exit(code);
 };
--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -127,10 +127,17 @@
   };
 };
 
+/** Awaits an answer; adds the request's id, and when it was sent and answered. */
+export const timed = async (id, answer) => {
+  const sentAt = performance.now();
+  const got = await answer;
+  return { id, sentAt, answeredAt: performance.now(), ...got };
+};
+
 /** Sends one request on a connection and awaits its answer. */
 export const send = (connection, request, body) => {
   const headers = body ? { ...request.headers, 'Content-Length': body.length } : request.headers;
-  const answer = connection.expect();
+  const answer = timed(request.id, connection.expect());
   connection.socket.write(requestHead({ ...request, headers }));
   if (body) connection.socket.write(body);
   return answer;
