Log how a connection ends behind its last answer

An answer whose tail is lost as its connection is closed left no trace: `answered` lines are sampled, and `cut` names only requests that are open when the process ends.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -37,6 +37,7 @@
   | 'exchange'
   | 'store'
   | 'registration'
+  | 'connection'
   | 'lifecycle';
 
 /** Maximum lines per second for each kind: rejections come by the hundred when targets are full, and writing a line costs about 20 us. */
@@ -69,6 +70,7 @@
   exchange: 5,
   store: 10,
   registration: 10,
+  connection: 20,
   lifecycle: 50,
 };
 
