Close connections in two steps, so that answers keep their tail

Callers that pipeline got a 200 with Connection: close and a part of the body: around a stop, behind answers without a length, behind refusals, after the idle timeout, and from a process that had ended. A target had run the request.

Cause: every close of the product was one step. Node.js closes a socket as soon as the last bytes are in the kernel; what arrives then, or lies unread, is answered with a reset, and a reset discards what the peer has not received.

Change: a server closes its sending half first, reads and discards what arrives until the peer closes its own, and then lets go (RFC 9112, 9.6). Bounds: 10 s, 1 MiB (0.5 s from then on), 1,000 connections a server. It takes the place of each close that Node.js or the gateway made: after the last response, at the idle timeout, behind bodies that don't end, of answers that are broken off, and at the end of the process, on all addresses, peers' too. A stop closes all connections within 2 s and the grace period; requests are answered until 0.5 s before its end instead of 0.2 s, so that the last answers arrive. An answer that ends with its connection is reset when it is broken off, since an orderly close would make it look complete. A connection line of the log now says how a connection ended whose caller may lack a part.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -60,6 +60,7 @@
         signalledAt,
         registration: registration(),
         connections,
+        closeConnections: (ms) => listeners.close(ms),
         graceMs,
         log,
         now,
@@ -68,7 +69,6 @@
       memberCleanup.unsubscribe();
       follower.stop();
       crashReports.stop();
-      listeners.close();
       store.close();
     },
   };
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -8,8 +8,12 @@
 
 /** Part of the grace period that is kept for late timers and the last log lines, ms. */
 const END_RESERVE_MS = 200;
-/** The same at most, as a fraction of the grace period. */
-const MAX_END_RESERVE_FRACTION = 0.1;
+/** Part of it in which callers receive the last answers and close their connections, ms. */
+const CLOSE_RESERVE_MS = 300;
+/** Each of them at most, as a fraction of the grace period. */
+const MAX_RESERVE_FRACTION = 0.1;
+/** Maximum time for closing the connections, ms. */
+const MAX_CLOSE_MS = 2000;
 /** Fraction of the grace period before which the shutdown does not end, even without requests: callers return until their directory responses expire. */
 const MIN_LEAVING_FRACTION = 0.5;
 /** Interval between checks for unanswered requests, ms. */
@@ -22,19 +26,25 @@
 /** Dependencies of the shutdown. */
 export interface StopOptions {
   phase: BehaviorSubject<Phase>;
-  /** Tells the other parts when this process ends. */
+  /** Tells the other parts until when requests are answered. */
   plannedEnd: BehaviorSubject<number>;
   /** When the signal arrived, from which the grace period counts. */
   signalledAt: number;
   registration: Registration | undefined;
   connections: CallerConnections;
+  /** Closes all connections within a time in ms. */
+  closeConnections: (ms: number) => Promise<void>;
   graceMs: number;
   log: DecisionLog;
   now: () => number;
 }
 
-const endReserveMs = (graceMs: number): number =>
-  Math.min(END_RESERVE_MS, graceMs * MAX_END_RESERVE_FRACTION);
+const reserve = (ms: number, graceMs: number): number =>
+  Math.min(ms, graceMs * MAX_RESERVE_FRACTION);
+
+/** When the process ends after a signal that arrived at `signalledAt`. */
+const processEndsAt = ({ signalledAt, graceMs }: Pick<StopOptions, 'signalledAt' | 'graceMs'>) =>
+  signalledAt + graceMs - reserve(END_RESERVE_MS, graceMs);
 
 /** Resolves when no request has been in progress for the quiet period, or at `endAt`. */
 const waitUntilQuiet = async (
@@ -58,10 +68,10 @@
     openMs: Math.round(now() - arrivedAt),
   }));
 
-/** Leaves the directory, and serves what can be answered in the grace period until no request comes. */
+/** Leaves the directory, serves what can be answered in the grace period until no request comes, and closes the connections. */
 export const stopGracefully = async (options: StopOptions): Promise<void> => {
   const { phase, plannedEnd, signalledAt, registration, connections, graceMs, log, now } = options;
-  const endsAt = signalledAt + graceMs - endReserveMs(graceMs);
+  const endsAt = processEndsAt(options) - reserve(CLOSE_RESERVE_MS, graceMs);
   plannedEnd.next(endsAt);
   phase.next('leaving');
   log.write('lifecycle', undefined, { event: 'leaving', unanswered: connections.unanswered });
@@ -77,4 +87,10 @@
     cut: describeCut(options),
     ms: Math.round(now() - signalledAt),
   });
+  const closingAt = now();
+  await options.closeConnections(Math.min(MAX_CLOSE_MS, processEndsAt(options) - closingAt));
+  log.write('lifecycle', undefined, {
+    event: 'connections closed',
+    ms: Math.round(now() - closingAt),
+  });
 };
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -20,6 +20,7 @@
 import type { CallerConnections } from './server/callerConnections';
 import { ReadBarrier } from './requests/readBarrier';
 import { AcceptQueue } from './server/acceptQueue';
+import { createConnectionCloser } from './server/closedConnections';
 import { createCallerServer } from './server/callerServer';
 import { nearestInstances } from './server/directory';
 import {
@@ -39,7 +40,8 @@
 export interface Listeners {
   /** Caller connections, tracked for a graceful shutdown. */
   connections: CallerConnections;
-  close: () => void;
+  /** Closes all connections; resolves once their peers have closed them too, after `ms` at most. */
+  close: (ms: number) => Promise<void>;
 }
 
 const listen = (server: Server, address: string): Promise<void> => {
@@ -270,17 +272,15 @@
       createMetricsEndpoint(components, registry, linesDropped),
       `${instance.ip}:${metricsPort}`,
     ]);
+  const closers = servers.map(([server]) => createConnectionCloser(server, components));
   await Promise.all(servers.map(([server, address]) => listen(server, address)));
   return {
     connections,
-    close: () => {
+    close: async (ms) => {
       reach.stop();
       quotas.stop();
       exchange.unsubscribe();
-      servers.forEach(([server]) => {
-        server.close();
-        server.closeAllConnections();
-      });
+      await Promise.all(closers.map((closer) => closer.closeAll(ms)));
     },
   };
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
+import { breakOff } from '@cardamomladder/http-json';
 import { describeTargets } from '@cardamomladder/steering';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { AttemptOutcome } from '../targets/attempt';
@@ -193,7 +194,7 @@
   const { request, res, ctx, sends } = execution;
   ctx.log.write('failed', request.id, { reason: message, sends, stack });
   execution.endEarly();
-  if (res.headersSent) res.destroy();
+  if (res.headersSent) breakOff(res);
   else sendGatewayResponse(res, { status: 502, message: 'internal error' });
   return 'failed';
 };
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -7,15 +7,12 @@
 import type { Socket } from 'node:net';
 import type { BehaviorSubject } from 'rxjs';
 import { closeUnlessReceived } from '@cardamomladder/http-json';
-import type { DecisionLog } from '../decisionLog';
 import type { Phase } from '../lifecycle/phase';
 
 interface CallerSocket extends Socket {
   /** Its responses that are not complete; several if the caller pipelines. */
   unanswered?: Set<ServerResponse>;
   closing?: boolean;
-  /** Requests that arrived behind the last response, and are not served. */
-  unserved?: number;
 }
 
 /**
@@ -43,7 +40,6 @@
   constructor(
     private readonly idOf: (req: IncomingMessage) => string | undefined,
     private readonly now: () => number,
-    private readonly log: DecisionLog,
   ) {}
 
   /** Number of requests whose response is not complete. */
@@ -59,19 +55,13 @@
   /** Counts a request; returns false if its connection is already closing and the request must not be served. */
   trackRequest(req: IncomingMessage, res: ServerResponse): boolean {
     const socket = req.socket as CallerSocket;
-    if (socket.closing) {
-      socket.unserved = (socket.unserved ?? 0) + 1;
-      return false;
-    }
+    if (socket.closing) return false;
     const request = { id: this.idOf(req), arrivedAt: this.now() };
     socket.unanswered ??= watchForClose(socket);
     const { unanswered } = socket;
     unanswered.add(res);
     this.open.add(request);
-    res.once('finish', () => {
-      closeUnlessReceived(req);
-      if (!res.shouldKeepAlive) this.logClose(socket, request.id);
-    });
+    res.once('finish', () => closeUnlessReceived(req));
     res.once('close', () => {
       unanswered.delete(res);
       this.open.delete(request);
@@ -108,18 +98,4 @@
     socket.closing = true;
     res.shouldKeepAlive = false;
   }
-
-  /** Logs how a connection ends after its last response. */
-  private logClose(socket: CallerSocket, lastAnswered: string | undefined): void {
-    const finishedAt = this.now();
-    socket.once('close', () =>
-      this.log.write('connection', lastAnswered, {
-        event: 'closed after its last answer',
-        ms: Math.round(this.now() - finishedAt),
-        unserved: socket.unserved ?? 0,
-        unsentBytes: socket.writableLength,
-        sentBytes: socket.bytesWritten,
-      }),
-    );
-  }
 }
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -76,7 +76,7 @@
 /** Creates the server; it responds with 503 until a configuration is loaded. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { clusterState, phase, wire, quotas, reads, metrics, log, now } = options;
-  const connections = new CallerConnections((req) => requestIdOf(req, wire.headers), now, log);
+  const connections = new CallerConnections((req) => requestIdOf(req, wire.headers), now);
   const configured = new ConfiguredRoutes(clusterState);
   const priorWait = new PriorWaitEstimator();
 
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -1,3 +1,5 @@
+export type { ClosedConnection } from './lingeringClose';
+export { ConnectionCloser, breakOff, endsWithConnection } from './lingeringClose';
 export { BodyError, MAX_JSON_BYTES, readBody, readBodyInTime, readJson, sendJson } from './server';
 export type { Transfer, TransferLimits } from './transferLimits';
 export { TransferTooLong, limitTransfer, whileProgressing, withinMs } from './transferLimits';
--- /dev/null
+++ b/packages/http-json/src/lingeringClose.ts
@@ -0,0 +1,234 @@
+/**
+ * Closes the connections of a server without losing what was sent on them (RFC 9112, 9.6).
+ * The system resets a socket that is closed while its peer still writes, and a reset
+ * discards what the peer has not received. So the sending half is closed first, and what
+ * arrives is read and discarded until the peer closes its own half, within limits.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { Server as NetServer } from 'node:net';
+
+/** Why a server closes a connection. */
+export type CloseReason = 'answered' | 'idle' | 'refused' | 'stop';
+
+/** What ended a connection after its sending half was closed: the peer in order, a reset, or a limit. */
+export type CloseEnd = 'peer' | 'reset' | 'time' | 'bytes' | 'number';
+
+/** A connection that a server has closed. */
+export interface ClosedConnection {
+  reason: CloseReason;
+  endedBy: CloseEnd;
+  /** The last request that was answered on it. */
+  lastAnswered: IncomingMessage | undefined;
+  /** Number of its requests that had no whole response. */
+  unanswered: number;
+  /** From the close of the sending half to the end, ms. */
+  lingeredMs: number;
+  discardedBytes: number;
+  /** What had not been handed to the system. */
+  unsentBytes: number;
+}
+
+/** What bounds the connections whose sending half is closed. */
+export interface LingerLimits {
+  /** For one connection, ms. */
+  maxMs: number;
+  /** What is read of one connection; from then on its peer has to wait. */
+  maxBytes: number;
+  /** For a connection on which more arrives than is read, ms. */
+  maxMsOverBytes: number;
+  /** Number of such connections of one server; the oldest ones are closed at once. */
+  maxConnections: number;
+}
+
+const LINGER_LIMITS: LingerLimits = {
+  maxMs: 10_000,
+  maxBytes: 1024 * 1024,
+  maxMsOverBytes: 500,
+  maxConnections: 1000,
+};
+
+/** The state of a connection whose sending half is closed. */
+interface Closing {
+  reason: CloseReason;
+  /** Monotonic clock, ms. */
+  since: number;
+  endedBy: CloseEnd;
+  unanswered: number;
+  timer: NodeJS.Timeout;
+}
+
+/** The state of an open connection. */
+interface Connection {
+  socket: Socket;
+  /** Its responses that are not complete, in order. */
+  pending: Set<ServerResponse>;
+  lastAnswered?: IncomingMessage;
+  /** Set once its requests are no longer read. */
+  discardedBytes?: number;
+  /** Set once the sending half is closed. */
+  closing?: Closing;
+}
+
+/** Responses without length or final chunk, whose end is that of their connection. */
+const unframedResponses = new WeakSet<ServerResponse>();
+
+/** Tells that a response ends with its connection, so that an orderly close makes it look complete. */
+export const endsWithConnection = (res: ServerResponse): void => {
+  unframedResponses.add(res);
+};
+
+/** Ends a response early, and its connection, without making it look complete or losing the responses before it. */
+export const breakOff = (res: ServerResponse): void => {
+  const { socket } = res;
+  if (!socket) {
+    if (!res.destroyed) res.once('socket', () => breakOff(res));
+  } else if (res.headersSent && unframedResponses.has(res)) socket.resetAndDestroy();
+  else socket.destroySoon();
+};
+
+/** Closes the connections of one server, and replaces the closes that Node.js makes itself. */
+export class ConnectionCloser {
+  private readonly open = new Map<Socket, Connection>();
+
+  /** The connections whose sending half is closed, oldest first. */
+  private readonly lingering = new Set<Connection>();
+
+  private isStopping = false;
+
+  private onAllClosed = () => {};
+
+  constructor(
+    private readonly server: Server,
+    private readonly onClosed: (closed: ClosedConnection) => void = () => {},
+    private readonly limits: LingerLimits = LINGER_LIMITS,
+  ) {
+    server.on('connection', (socket: Socket) => this.accept(socket));
+    server.on('request', (req: IncomingMessage, res: ServerResponse) => this.track(req, res));
+    server.on('timeout', (socket: Socket) => this.close(socket, 'idle'));
+  }
+
+  /** The responses of a connection that are not complete, in order. */
+  pendingOf(socket: Socket): ReadonlySet<ServerResponse> {
+    return this.open.get(socket)?.pending ?? new Set();
+  }
+
+  /** True once the sending half of a connection is closed. */
+  isClosing(socket: Socket): boolean {
+    return this.open.get(socket)?.closing !== undefined;
+  }
+
+  /** Reads and discards what arrives on a connection from now on, instead of parsing it; up to a limit, beyond which the peer has to wait. */
+  discardInput(socket: Socket): void {
+    const connection = this.open.get(socket);
+    if (!connection || connection.discardedBytes !== undefined) return;
+    connection.discardedBytes = 0;
+    socket.removeAllListeners('data');
+    socket.on('data', (part: Buffer) => this.discard(connection, part.length));
+    socket.resume();
+  }
+
+  /** Closes the sending half of a connection after all that was written to it, and the rest once the peer has closed its own or a limit is reached. */
+  close(socket: Socket, reason: CloseReason): void {
+    const connection = this.open.get(socket);
+    if (!connection || connection.closing || socket.destroyed) return;
+    const { maxMs, maxConnections } = this.limits;
+    const { pending } = connection;
+    const unanswered = [...pending].filter(({ writableFinished }) => !writableFinished);
+    connection.closing = {
+      reason,
+      since: performance.now(),
+      endedBy: 'peer',
+      unanswered: unanswered.length,
+      timer: setTimeout(() => this.end(connection, 'time'), maxMs).unref(),
+    };
+    // Node.js tells only the first of them, and only once the connection is gone.
+    unanswered.forEach((res) => res.emit('close'));
+    socket.setTimeout(0);
+    socket.end();
+    this.discardInput(socket);
+    this.discard(connection, 0);
+    this.lingering.add(connection);
+    if (this.lingering.size <= maxConnections || this.isStopping) return;
+    const [oldest] = this.lingering;
+    this.end(oldest, 'number');
+  }
+
+  /** Stops listening, and closes all connections; resolves once they are closed, after `ms` at most. */
+  async closeAll(ms: number): Promise<void> {
+    this.isStopping = true;
+    // The method of the http server destroys connections that are not in use.
+    if (this.server.listening) NetServer.prototype.close.call(this.server);
+    [...this.open.values()].forEach(({ socket, pending }) => {
+      const [current] = pending;
+      if (current?.headersSent && unframedResponses.has(current)) socket.resetAndDestroy();
+      else this.close(socket, 'stop');
+    });
+    const timer = setTimeout(() => this.open.forEach((each) => this.end(each, 'time')), ms);
+    await new Promise<void>((resolve) => {
+      this.onAllClosed = resolve;
+      if (this.open.size === 0) resolve();
+    });
+    clearTimeout(timer);
+    this.server.close();
+  }
+
+  private accept(socket: Socket): void {
+    const connection: Connection = { socket, pending: new Set() };
+    this.open.set(socket, connection);
+    // Node.js closes a connection in this way after its last response.
+    Object.assign(socket, { destroySoon: () => this.close(socket, 'answered') });
+    socket.once('error', () => {
+      if (connection.closing) connection.closing.endedBy = 'reset';
+    });
+    socket.once('close', () => this.forget(connection));
+    if (this.isStopping) this.close(socket, 'stop');
+  }
+
+  private track(req: IncomingMessage, res: ServerResponse): void {
+    const connection = this.open.get(req.socket);
+    if (!connection) return;
+    connection.pending.add(res);
+    res.once('finish', () => {
+      connection.lastAnswered = req;
+    });
+    res.once('close', () => connection.pending.delete(res));
+  }
+
+  private discard(connection: Connection, bytes: number): void {
+    const { closing, socket } = connection;
+    const { maxBytes, maxMsOverBytes } = this.limits;
+    const discardedBytes = (connection.discardedBytes ?? 0) + bytes;
+    Object.assign(connection, { discardedBytes });
+    if (discardedBytes <= maxBytes) return;
+    socket.pause();
+    if (!closing) return;
+    clearTimeout(closing.timer);
+    const elapsedMs = performance.now() - closing.since;
+    closing.timer = setTimeout(() => this.end(connection, 'bytes'), maxMsOverBytes - elapsedMs);
+  }
+
+  private end(connection: Connection, endedBy: CloseEnd): void {
+    const { closing, socket } = connection;
+    if (closing) closing.endedBy = endedBy;
+    socket.destroy();
+  }
+
+  private forget(connection: Connection): void {
+    const { socket, closing, lastAnswered, discardedBytes = 0 } = connection;
+    this.open.delete(socket);
+    this.lingering.delete(connection);
+    if (this.open.size === 0) this.onAllClosed();
+    if (!closing) return;
+    clearTimeout(closing.timer);
+    this.onClosed({
+      reason: closing.reason,
+      endedBy: closing.endedBy,
+      lastAnswered,
+      unanswered: closing.unanswered,
+      lingeredMs: performance.now() - closing.since,
+      discardedBytes,
+      unsentBytes: socket.writableLength,
+    });
+  }
+}
--- a/packages/http-json/src/unreadRest.ts
+++ b/packages/http-json/src/unreadRest.ts
@@ -29,8 +29,9 @@
   const giveUpAt = performance.now() + MAX_REST_MS;
   const timer = setInterval(() => {
     const isTooMuch = socket.bytesRead - bytesBefore > MAX_REST_BYTES;
-    if (!req.complete && (isTooMuch || performance.now() > giveUpAt)) socket.destroy();
-    if (req.complete || socket.destroyed) clearInterval(timer);
+    const isOver = isTooMuch || performance.now() > giveUpAt;
+    if (!req.complete && isOver) socket.destroySoon();
+    if (req.complete || isOver || socket.destroyed) clearInterval(timer);
   }, CHECK_INTERVAL_MS);
 };
 
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -54,6 +54,8 @@
   eventLoopDelay: Gauge;
   /** Time for which each turn of the event loop accepted a connection: others waited meanwhile. */
   acceptRunSeconds: Histogram;
+  /** Connections that this instance closed, by why, and by what ended them after its half was closed. */
+  connectionsClosed: Counter<'reason' | 'ended_by'>;
   /** Callers that left before their answer was complete, by how far their request was. */
   callersLeft: Counter<'request'>;
 }
@@ -146,6 +148,11 @@
       buckets: WAIT_BUCKETS,
       registers,
     }),
+    connectionsClosed: counter(
+      'connections_closed_total',
+      'Connections closed by this instance, by why, and by what ended them afterwards.',
+      ['reason', 'ended_by'],
+    ),
     callersLeft: counter(
       'callers_left_total',
       'Callers that left before their answer was complete, by whether their request had been sent.',
