Refuse what can't be parsed behind the answers before it

Cause: on a parse error Node.js writes the refusal and destroys the socket, whatever is in progress on it.

Change: a server stops parsing, discards what arrives, answers the requests before, and then refuses and closes in two steps. If the body of a request can't be parsed, its own handler answers it.

--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -7,6 +7,7 @@
 import type { Customer, Identity } from '@cardamomladder/customers';
 import { identify, intersectHomeRegions } from '@cardamomladder/customers';
 import type { CallerLimits, Route } from '@cardamomladder/routing';
+import { BodyError } from '@cardamomladder/http-json';
 import { tracer } from '@cardamomladder/telemetry';
 import type { InstanceId } from '@cardamomladder/types';
 import type { Quotas } from '../quota/quotas';
@@ -215,6 +216,10 @@
     (req, res) => {
       if (!connections.trackUntilAnswered(req, res, phase)) return;
       handle(req, res).catch((error: Error) => {
+        if (error instanceof BodyError) {
+          reject.malformed(res, requestIdOf(req, wire.headers), error.message, error.status);
+          return;
+        }
         log.write('failed', requestIdOf(req, wire.headers), { reason: error.message });
         if (!res.headersSent) sendGatewayResponse(res, { status: 502, message: 'internal error' });
       });
--- a/packages/gateway/src/server/closedConnections.ts
+++ b/packages/gateway/src/server/closedConnections.ts
@@ -1,11 +1,11 @@
 /** Closes the connections of the servers without losing what was sent, and logs those whose peer may not have received it. */
 import type { Server } from 'node:http';
 import type { ClosedConnection } from '@cardamomladder/http-json';
-import { ConnectionCloser } from '@cardamomladder/http-json';
+import { ConnectionCloser, refuseMalformed } from '@cardamomladder/http-json';
 import type { Components } from '../components';
 import { requestIdOf } from '../requests/callerRequest';
 
-/** Creates the closer of a server. */
+/** Creates the closer of a server, which also refuses malformed requests on it. */
 export const createConnectionCloser = (
   server: Server,
   { wire, metrics, log }: Pick<Components, 'wire' | 'metrics' | 'log'>,
@@ -19,5 +19,7 @@
       lingeredMs: Math.round(lingeredMs),
     });
   };
-  return new ConnectionCloser(server, onClosed);
+  const closer = new ConnectionCloser(server, onClosed);
+  refuseMalformed(server, closer);
+  return closer;
 };
--- a/packages/gateway/src/server/rejections.ts
+++ b/packages/gateway/src/server/rejections.ts
@@ -1,5 +1,6 @@
 /** Responses to requests that are rejected before they are served, with their log lines and metrics. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { BodyError } from '@cardamomladder/http-json';
 import type { Customer } from '@cardamomladder/customers';
 import type { ClusterState } from '@cardamomladder/fleet';
 import type { Route } from '@cardamomladder/routing';
@@ -44,10 +45,15 @@
       metrics.rejections.inc({ reason });
       sendGatewayResponse(res, { status: 503, message: `not run: ${reason}`, retryAfterMs });
     },
-    /** The request is malformed (400). */
-    malformed: (res: ServerResponse, id: string | undefined, message: string): void => {
+    /** The request is malformed (400), or its body is (400, 408, 413, 431). */
+    malformed: (
+      res: ServerResponse,
+      id: string | undefined,
+      message: string,
+      status: BodyError['status'] = 400,
+    ): void => {
       log.write('malformed', id, { message });
-      sendGatewayResponse(res, { status: 400, message });
+      sendGatewayResponse(res, { status, message });
     },
     /** The body of the request was not complete at its deadline (408). */
     bodyIncomplete: (res: ServerResponse, id: string, allowedMs: number): void => {
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -1,5 +1,6 @@
 export type { ClosedConnection } from './lingeringClose';
 export { ConnectionCloser, breakOff, endsWithConnection } from './lingeringClose';
+export { refuseMalformed } from './malformedRequests';
 export { BodyError, MAX_JSON_BYTES, readBody, readBodyInTime, readJson, sendJson } from './server';
 export type { Transfer, TransferLimits } from './transferLimits';
 export { TransferTooLong, limitTransfer, whileProgressing, withinMs } from './transferLimits';
--- a/packages/http-json/src/server.ts
+++ b/packages/http-json/src/server.ts
@@ -7,23 +7,36 @@
 /** Time within which a JSON body is complete, ms: the largest one over a link of 10 Mbit/s, three times. */
 const MAX_JSON_MS = 3000;
 
-/** Thrown by `readJson` for a body that is too large or not JSON; `status` is the response status. */
+/** Why a body can't be used; `status` is the response status. */
 export class BodyError extends Error {
   constructor(
-    readonly status: 400 | 408 | 413,
+    readonly status: 400 | 408 | 413 | 431,
     message: string,
   ) {
     super(message);
   }
 }
 
+const failedBodies = new WeakMap<IncomingMessage, BodyError>();
+
+/** Ends the read of a body whose rest can't be parsed, also if it begins later. */
+export const failBody = (req: IncomingMessage, error: BodyError): void => {
+  failedBodies.set(req, error);
+  req.emit('error', error);
+};
+
 /**
- * Reads the whole request body; resolves with `too-large` as soon as it exceeds `limit`
+ * Reads the whole request body; rejects if it can't be parsed; resolves with `too-large` as soon as it exceeds `limit`
  * bytes. The rest of an oversized body is not kept; it may never end, so that the
  * connection is to be closed some time after the response (`closeUnlessReceived`).
  */
 export const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | 'too-large'> =>
   new Promise((resolve, reject) => {
+    const failure = failedBodies.get(req);
+    if (failure) {
+      reject(failure);
+      return;
+    }
     let chunks: Buffer[] = [];
     let size = 0;
     req.on('data', (chunk: Buffer) => {
