--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -26,6 +26,15 @@
   return unanswered;
 };
 
+/** Lets the connection end with this response if no other request is pending on it; returns whether it does. */
+export const closeAfter = (res: ServerResponse): boolean => {
+  const socket = res.req.socket as CallerSocket;
+  if ((socket.unanswered?.size ?? 0) > 1) return false;
+  socket.closing = true;
+  res.shouldKeepAlive = false;
+  return true;
+};
+
 /** A request whose response is not complete. */
 export interface UnansweredRequest {
   id: string | undefined;
@@ -81,7 +90,7 @@
     // written, since further requests may have arrived on it by then.
     Object.assign(res, {
       writeHead: (...args: Parameters<typeof res.writeHead>) => {
-        if (phase.value === 'leaving') this.closeAfter(req, res);
+        if (phase.value === 'leaving') closeAfter(res);
         return writeHead(...args);
       },
     });
@@ -90,12 +99,4 @@
     });
     return true;
   }
-
-  /** Closes the connection after this response if no other request is pending on it. */
-  closeAfter(req: IncomingMessage, res: ServerResponse): void {
-    const socket = req.socket as CallerSocket;
-    if ((socket.unanswered?.size ?? 0) > 1) return;
-    socket.closing = true;
-    res.shouldKeepAlive = false;
-  }
 }
