Accept nothing behind a request that outlasts the process

A lookup that arrived at a stopping instance on a connection whose earlier request was still at a target ran, and was cut with that request when the process ended: three of three behind a booking of 6 s, grace period 3 s.

Cause: whether a request is answered in time was decided by its own work. Answers go out in the order of the requests, so one that is ready in time may wait for a slower one.

Change: the decision also takes the requests before it on its connection into account: the estimate for their kind less the time they have run, or their deadline once that is exceeded. What is refused so has not run.

--- a/packages/gateway/src/requests/__tests__/remainingTime.test.ts
+++ b/packages/gateway/src/requests/__tests__/remainingTime.test.ts
@@ -12,7 +12,7 @@
     const cases = [SHORT_MS, LONG_MS].flatMap((allowedMs) =>
       [undefined, SHORT_MS, LONG_MS].flatMap((workMs) =>
         [0, LEFT_MS].map((deliveryMs) => {
-          const times = { allowedMs, workMs, deliveryMs };
+          const times = { allowedMs, workMs, deliveryMs, aheadMs: 0 };
           const result = finishesInTime({ leftMs: LEFT_MS, ...times }) ? 'accepted' : 'refused';
           return `allowed ${allowedMs}, work ${workMs}, delivery ${deliveryMs}: ${result}`;
         }),
@@ -35,4 +35,11 @@
       ]
     `);
   });
+
+  it('is refused if a request before it on its connection is answered too late', () => {
+    // Guards against answers that are ready in time, but go out behind a later one.
+    const times = { leftMs: LEFT_MS, allowedMs: SHORT_MS, workMs: SHORT_MS, deliveryMs: 100 };
+    expect(finishesInTime({ ...times, aheadMs: SHORT_MS })).toBe(true);
+    expect(finishesInTime({ ...times, aheadMs: LEFT_MS })).toBe(false);
+  });
 });
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -107,6 +107,12 @@
 
   private awaited: AwaitedResponse | undefined;
 
+  /** When the request was first sent; monotonic clock, ms. */
+  workStartedAt: number | undefined;
+
+  /** True once its answer only has to be delivered. */
+  isAnswered = false;
+
   private endWait: (() => void) | undefined;
 
   constructor(
@@ -220,13 +226,15 @@
   /** Starts measuring how long the request takes; called with its first send. */
   startWork(): void {
     const { request, ctx } = this;
-    this.awaited = this.responseTails.work.start(ctx.now(), request.deadlineAt);
+    this.workStartedAt = ctx.now();
+    this.awaited = this.responseTails.work.start(this.workStartedAt, request.deadlineAt);
   }
 
   /** Records that the answer is there, and measures how long its delivery takes. */
   recordAnswer(): void {
     const { res, ctx } = this;
     const at = ctx.now();
+    this.isAnswered = true;
     this.awaited?.answered(at);
     res.once('finish', () => this.responseTails.delivery.record(ctx.now() - at, ctx.now()));
   }
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -17,7 +17,7 @@
 import { startForward } from './forward';
 import { QUARANTINE_RETRY_AFTER_MS, recordCrashEvidence } from './crashEvidence';
 import { chooseRetry, isRefusedForRoom, reachedNoTarget } from './chooseRetry';
-import { STOPPING, remainingTime } from './remainingTime';
+import { STOPPING, announceExecution, remainingTime } from './remainingTime';
 import { shouldRetry } from './retryPolicy';
 import { chooseRetryWhileWaiting } from './retryWhileWaiting';
 import type { Send } from './send';
@@ -208,6 +208,7 @@
   span: Span,
 ): Promise<ServeOutcome> => {
   const execution = new RequestExecution(request, req, res, ctx, span);
+  announceExecution(execution);
   // The instance that forwarded a request has counted it already.
   if (!request.isForwarded) ctx.retriesOf(request.service).countRequest();
   const timeLeftMs = Math.max(0, request.deadlineAt - ctx.now());
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -35,6 +35,12 @@
   return true;
 };
 
+/** The responses that go out before this one on its connection, and are not complete. */
+export const responsesBefore = (res: ServerResponse): ServerResponse[] => {
+  const unanswered = [...((res.req.socket as CallerSocket).unanswered ?? [])];
+  return unanswered.slice(0, Math.max(0, unanswered.indexOf(res)));
+};
+
 /** A request whose response is not complete. */
 export interface UnansweredRequest {
   id: string | undefined;
