--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -9,11 +9,13 @@
   NARROW_LINK_KINDS,
   PARTITION_KINDS,
   SLOW_TARGET_KINDS,
+  WRITING_AHEAD_KINDS,
   planFaults,
   planLeavingCallers,
   planNarrowLinks,
   planPartitions,
   planSlowTargets,
+  planWritingAhead,
 } from './plan';
 export type {
   ReceivedResponse,
@@ -26,6 +28,7 @@
 export { TargetSignalChecker } from './targetSignals';
 export type { EndlessConnection } from './leavingCallers';
 export { LeavingCallerChecker } from './leavingCallers';
+export { WholeAnswerChecker } from './wholeAnswers';
 export { FaultHistory } from './faultHistory';
 export { PartitionChecker } from './partitions';
 export { RepeatChecker } from './repeats';
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -61,6 +61,9 @@
   'caller-sends-without-end',
 ] as const;
 
+/** Callers that write before they have read, and stops of all instances in series. */
+export const WRITING_AHEAD_KINDS = ['callers-write-ahead', 'instances-stopped-in-series'] as const;
+
 export interface PlannedFault {
   kind: (
     | typeof FAULT_KINDS
@@ -68,6 +71,7 @@
     | typeof NARROW_LINK_KINDS
     | typeof SLOW_TARGET_KINDS
     | typeof LEAVING_KINDS
+    | typeof WRITING_AHEAD_KINDS
   )[number];
   atMs: number;
   forMs: number;
@@ -178,3 +182,32 @@
     return { kind, atMs: random() * (totalMs - forMs), forMs, which: random() };
   }).sort((a, b) => a.atMs - b.atMs);
 };
+
+/** Separates the callers that write ahead of a seed from its other faults, whose plan stays as it is. */
+const WRITING_AHEAD_SEED_OFFSET = 4_000_037;
+const MIN_WRITING_AHEAD = 2;
+const MAX_WRITING_AHEAD = 4;
+const MIN_WRITING_AHEAD_MS = 2000;
+const MAX_WRITING_AHEAD_MS = 6000;
+/** Time that a stop of all instances in series takes at most, ms. */
+const SERIES_MS = 9000;
+
+/** Returns callers that write before they have read, and, in half of the seeds, stops of all instances in series beside them. */
+export const planWritingAhead = (seed: number, totalMs: number): PlannedFault[] => {
+  const random = seededRandom(Math.imul(seed + WRITING_AHEAD_SEED_OFFSET, SEED_MULTIPLIER));
+  const count =
+    MIN_WRITING_AHEAD + Math.floor(random() * (MAX_WRITING_AHEAD - MIN_WRITING_AHEAD + 1));
+  const hasSeries = random() < 0.5;
+  const callers = Array.from({ length: count }, (): PlannedFault => {
+    const forMs = MIN_WRITING_AHEAD_MS + random() * (MAX_WRITING_AHEAD_MS - MIN_WRITING_AHEAD_MS);
+    const atMs = random() * (totalMs - forMs);
+    return { kind: 'callers-write-ahead', atMs, forMs, which: random() };
+  });
+  const series: PlannedFault = {
+    kind: 'instances-stopped-in-series',
+    atMs: random() * (totalMs - SERIES_MS),
+    forMs: 100 + random() * 900,
+    which: random(),
+  };
+  return [...callers, ...(hasSeries ? [series] : [])].sort((a, b) => a.atMs - b.atMs);
+};
