Let requests finish while a stop closes the connections

A stopped line names the requests that are open when the close begins (open, was cut), and connection lines name those that got no answer (unanswered).

--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -20,8 +20,8 @@
 const POLL_INTERVAL_MS = 50;
 /** If no request is in progress for this long after `MIN_LEAVING_FRACTION`, the shutdown ends early, ms. */
 const QUIET_PERIOD_MS = 300;
-/** Number of cut requests that are logged. */
-const MAX_CUT_LOGGED = 20;
+/** Number of open requests that are logged. */
+const MAX_OPEN_LOGGED = 20;
 
 /** Dependencies of the shutdown. */
 export interface StopOptions {
@@ -60,9 +60,9 @@
   return 'out-of-time';
 };
 
-/** The requests that end with the process, for the log: when they arrived after the signal, and how long they were open. */
-const describeCut = ({ connections, signalledAt, now }: StopOptions) =>
-  connections.unansweredRequests.slice(0, MAX_CUT_LOGGED).map(({ id, arrivedAt }) => ({
+/** The requests that have only until the connections are closed, for the log: when they arrived after the signal, and how long they were open. */
+const describeOpen = ({ connections, signalledAt, now }: StopOptions) =>
+  connections.unansweredRequests.slice(0, MAX_OPEN_LOGGED).map(({ id, arrivedAt }) => ({
     id,
     arrivedMs: Math.round(arrivedAt - signalledAt),
     openMs: Math.round(now() - arrivedAt),
@@ -84,7 +84,7 @@
     event: 'stopped',
     ended,
     unanswered: connections.unanswered,
-    cut: describeCut(options),
+    open: describeOpen(options),
     ms: Math.round(now() - signalledAt),
   });
   const closingAt = now();
--- a/packages/http-json/src/__tests__/lingeringClose.test.ts
+++ b/packages/http-json/src/__tests__/lingeringClose.test.ts
@@ -134,6 +134,21 @@
     ]);
   });
 
+  it('are closed after the responses that are pending', async () => {
+    // Guards against answers that are cut though they are ready before the process ends.
+    await listen((_, res) => {
+      setTimeout(() => res.end('late answer'), 100);
+    });
+    const kept = REQUEST.replace('Connection: close\r\n', '');
+    const { socket, received } = ask(kept + kept);
+    await sleep(50);
+    const stopping = closer.closeAll(1000);
+    expect(await received).toMatch(/late answer[^]*late answer$/);
+    socket.end();
+    await stopping;
+    expect(closed).toMatchObject([{ reason: 'stop', endedBy: 'peer', unanswered: [] }]);
+  });
+
   it.each([
     { framing: 'that ends with its connection', isReset: true, headers: {} },
     { framing: 'of a known length', isReset: false, headers: { 'content-length': 10 } },
--- a/packages/http-json/src/lingeringClose.ts
+++ b/packages/http-json/src/lingeringClose.ts
@@ -20,8 +20,8 @@
   endedBy: CloseEnd;
   /** The last request that was answered on it. */
   lastAnswered: IncomingMessage | undefined;
-  /** Number of its requests that had no whole response. */
-  unanswered: number;
+  /** Its requests that have no whole response. */
+  unanswered: IncomingMessage[];
   /** From the close of the sending half to the end, ms. */
   lingeredMs: number;
   discardedBytes: number;
@@ -54,8 +54,8 @@
   /** Monotonic clock, ms. */
   since: number;
   endedBy: CloseEnd;
-  unanswered: number;
-  timer: NodeJS.Timeout;
+  unanswered: IncomingMessage[];
+  timer?: NodeJS.Timeout;
 }
 
 /** The state of an open connection. */
@@ -133,15 +133,8 @@
     const connection = this.open.get(socket);
     if (!connection || connection.closing || socket.destroyed) return;
     const { maxMs, maxConnections } = this.limits;
-    const { pending } = connection;
-    const unanswered = [...pending].filter(({ writableFinished }) => !writableFinished);
-    connection.closing = {
-      reason,
-      since: performance.now(),
-      endedBy: 'peer',
-      unanswered: unanswered.length,
-      timer: setTimeout(() => this.end(connection, 'time'), maxMs).unref(),
-    };
+    const { unanswered, closing } = this.beginClose(connection, reason);
+    closing.timer = setTimeout(() => this.end(connection, 'time'), maxMs).unref();
     // Node.js tells only the first of them, and only once the connection is gone.
     unanswered.forEach((res) => res.emit('close'));
     socket.setTimeout(0);
@@ -154,17 +147,15 @@
     this.end(oldest, 'number');
   }
 
-  /** Stops listening, and closes all connections; resolves once they are closed, after `ms` at most. */
+  /** Stops listening, and closes all connections, each after its pending responses; cuts off what is left after `ms`, and resolves then. */
   async closeAll(ms: number): Promise<void> {
     this.isStopping = true;
     // The method of the http server destroys connections that are not in use.
     if (this.server.listening) NetServer.prototype.close.call(this.server);
-    [...this.open.values()].forEach(({ socket, pending }) => {
-      const [current] = pending;
-      if (current?.headersSent && unframedResponses.has(current)) socket.resetAndDestroy();
-      else this.close(socket, 'stop');
+    this.open.forEach(({ socket, pending }) => {
+      if (pending.size === 0) this.close(socket, 'stop');
     });
-    const timer = setTimeout(() => this.open.forEach((each) => this.end(each, 'time')), ms);
+    const timer = setTimeout(() => this.open.forEach((each) => this.cutOff(each)), ms);
     await new Promise<void>((resolve) => {
       this.onAllClosed = resolve;
       if (this.open.size === 0) resolve();
@@ -192,7 +183,22 @@
     res.once('finish', () => {
       connection.lastAnswered = req;
     });
-    res.once('close', () => connection.pending.delete(res));
+    res.once('close', () => {
+      connection.pending.delete(res);
+      if (this.isStopping && connection.pending.size === 0) this.close(req.socket, 'stop');
+    });
+  }
+
+  /** Records why a connection is closed; returns its responses that are not complete. */
+  private beginClose(connection: Connection, reason: CloseReason) {
+    const unanswered = [...connection.pending].filter(({ writableFinished }) => !writableFinished);
+    const closing: Closing = {
+      reason,
+      since: performance.now(),
+      endedBy: 'peer',
+      unanswered: unanswered.map(({ req }) => req),
+    };
+    return { unanswered, closing: Object.assign(connection, { closing }).closing };
   }
 
   private discard(connection: Connection, bytes: number): void {
@@ -208,6 +214,15 @@
     closing.timer = setTimeout(() => this.end(connection, 'bytes'), maxMsOverBytes - elapsedMs);
   }
 
+  /** Ends a connection at once, without making a part of a response look complete. */
+  private cutOff(connection: Connection): void {
+    const { socket, pending } = connection;
+    const [current] = pending;
+    if (!connection.closing) this.beginClose(connection, 'stop');
+    if (current?.headersSent && unframedResponses.has(current)) socket.resetAndDestroy();
+    this.end(connection, 'time');
+  }
+
   private end(connection: Connection, endedBy: CloseEnd): void {
     const { closing, socket } = connection;
     if (closing) closing.endedBy = endedBy;
