Keep ids, not requests, of closed connections

Each open connection kept the last request that was answered on it, with its headers, for the log line that few of them ever get.

--- a/packages/gateway/src/server/closedConnections.ts
+++ b/packages/gateway/src/server/closedConnections.ts
@@ -18,13 +18,13 @@
     const { reason, endedBy } = closed;
     metrics.connectionsClosed.inc({ reason, ended_by: endedBy });
     if (endedBy === 'peer' && unanswered.length === 0 && reason !== 'refused') return;
-    log.write('connection', lastAnswered && idOf(lastAnswered), () => ({
+    log.write('connection', lastAnswered, {
       ...closed,
       lingeredMs: Math.round(lingeredMs),
-      unanswered: unanswered.slice(0, MAX_UNANSWERED_LOGGED).map(idOf),
-    }));
+      unanswered: unanswered.slice(0, MAX_UNANSWERED_LOGGED),
+    });
   };
-  const closer = new ConnectionCloser(server, onClosed);
+  const closer = new ConnectionCloser(server, idOf, onClosed);
   refuseMalformed(server, closer);
   return closer;
 };
--- a/packages/http-json/src/__tests__/lingeringClose.test.ts
+++ b/packages/http-json/src/__tests__/lingeringClose.test.ts
@@ -18,6 +18,7 @@
 let closed: ClosedConnection[];
 let sockets: Socket[];
 
+const idOf = ({ url }: IncomingMessage): string | undefined => url;
 const answerAtOnce = (_: IncomingMessage, res: ServerResponse): void => {
   res.end('answer');
 };
@@ -25,7 +26,7 @@
   closed = [];
   sockets = [];
   server = createServer(handle);
-  closer = new ConnectionCloser(server, (each) => closed.push(each), LIMITS);
+  closer = new ConnectionCloser(server, idOf, (each) => closed.push(each), LIMITS);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -67,7 +68,13 @@
     expect(closed).toEqual([]);
     socket.end();
     await untilClosed(1);
-    expect(closed[0]).toMatchObject({ reason: 'answered', endedBy: 'peer', unsentBytes: 0 });
+    expect(closed[0]).toMatchObject({
+      reason: 'answered',
+      endedBy: 'peer',
+      lastAnswered: '/',
+      unanswered: [],
+      unsentBytes: 0,
+    });
   });
 
   it('ends after a time if its peer does not', async () => {
--- a/packages/http-json/src/lingeringClose.ts
+++ b/packages/http-json/src/lingeringClose.ts
@@ -18,10 +18,10 @@
 export interface ClosedConnection {
   reason: CloseReason;
   endedBy: CloseEnd;
-  /** The last request that was answered on it. */
-  lastAnswered: IncomingMessage | undefined;
-  /** Its requests that have no whole response. */
-  unanswered: IncomingMessage[];
+  /** Id of the last request that was answered on it. */
+  lastAnswered: string | undefined;
+  /** Ids of its requests that have no whole response; undefined for a request without an id. */
+  unanswered: (string | undefined)[];
   /** From the close of the sending half to the end, ms. */
   lingeredMs: number;
   discardedBytes: number;
@@ -54,7 +54,7 @@
   /** Monotonic clock, ms. */
   since: number;
   endedBy: CloseEnd;
-  unanswered: IncomingMessage[];
+  unanswered: (string | undefined)[];
   timer?: NodeJS.Timeout;
 }
 
@@ -63,7 +63,7 @@
   socket: Socket;
   /** Its responses that are not complete, in order. */
   pending: Set<ServerResponse>;
-  lastAnswered?: IncomingMessage;
+  lastAnswered?: string;
   /** Set once its requests are no longer read. */
   discardedBytes?: number;
   /** Set once the sending half is closed. */
@@ -100,6 +100,7 @@
 
   constructor(
     private readonly server: Server,
+    private readonly idOf: (req: IncomingMessage) => string | undefined = () => undefined,
     private readonly onClosed: (closed: ClosedConnection) => void = () => {},
     private readonly limits: LingerLimits = LINGER_LIMITS,
   ) {
@@ -180,11 +181,9 @@
     const connection = this.open.get(req.socket);
     if (!connection) return;
     connection.pending.add(res);
-    res.once('finish', () => {
-      connection.lastAnswered = req;
-    });
     res.once('close', () => {
       connection.pending.delete(res);
+      if (res.writableFinished) connection.lastAnswered = this.idOf(req);
       if (this.isStopping && connection.pending.size === 0) this.close(req.socket, 'stop');
     });
   }
@@ -196,7 +195,7 @@
       reason,
       since: performance.now(),
       endedBy: 'peer',
-      unanswered: unanswered.map(({ req }) => req),
+      unanswered: unanswered.map(({ req }) => this.idOf(req)),
     };
     return { unanswered, closing: Object.assign(connection, { closing }).closing };
   }
