Don't let a stop wait for the polls of peers

A quiet stop lasted until 0.2 s before the end of its grace period instead of ending 0.3 s after the last request (2,822 ms of 3,000 ms), whenever a peer polled the instance.

Change: a stop waits for the responses to callers and to requests that peers forward; other connections are closed at once. A response that can't be sent any more is detached from its connection, so that a late write does not destroy it with what is unsent. A stop also resolves at its bound if a connection does not report its end.

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -1,5 +1,5 @@
 /** Creates the servers of one instance and binds them to their addresses. */
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import type { Follower, Registration } from '@cardamomladder/fleet';
 import type { SocketAddress, TargetCrash } from '@cardamomladder/types';
 import { splitAddress } from '@cardamomladder/types';
@@ -8,7 +8,7 @@
 import type { PaceProbes } from './pace/paceProbes';
 import { createPaceConditions, createPaceProbes } from './pace/targetPaces';
 import { peerRouter } from './peers/router';
-import { createPeerServer } from './peers/server';
+import { createPeerServer, isForwarded } from './peers/server';
 import { knownInstances } from './peers/recentPeers';
 import { createForwardingPeers, createReachMonitor } from './reach/instanceReach';
 import type { ReachMonitor } from './reach/reachMonitor';
@@ -258,21 +258,23 @@
   const peers = createPeerServer(router, serveForwarded);
   acceptQueue.watch(callers);
   acceptQueue.watch(peers);
-  const servers: [Server, string][] = [
-    [callers, addresses.callers],
+  const servers: [Server, string, isAwaited?: (req: IncomingMessage) => boolean][] = [
+    [callers, addresses.callers, () => true],
     [
       createDirectoryServer(wire, createDirectoryLookup(components), directoryTtl),
       addresses.directory,
     ],
     [createReadinessServer(wire, ready), addresses.readiness],
-    [peers, addresses.peers],
+    [peers, addresses.peers, isForwarded],
   ];
   if (metricsPort > 0)
     servers.push([
       createMetricsEndpoint(components, registry, linesDropped),
       `${instance.ip}:${metricsPort}`,
     ]);
-  const closers = servers.map(([server]) => createConnectionCloser(server, components));
+  const closers = servers.map(([server, , isAwaited = () => false]) =>
+    createConnectionCloser(server, isAwaited, components),
+  );
   await Promise.all(servers.map(([server, address]) => listen(server, address)));
   return {
     connections,
--- a/packages/gateway/src/peers/server.ts
+++ b/packages/gateway/src/peers/server.ts
@@ -45,6 +45,10 @@
   sendJson(res, STATUS_BY_CODE[code] ?? INTERNAL_ERROR, { error: { message: error.message } });
 };
 
+/** True for a caller's request that a peer forwards. */
+export const isForwarded = ({ headers }: IncomingMessage): boolean =>
+  headers[FORWARDED_HEADER] !== undefined;
+
 /** Creates the server for peer requests; a malformed request is rejected with an error message that says why. Callers' requests that peers forward go to `serveForwarded`. */
 export const createPeerServer = (
   router: PeerRouter,
@@ -52,7 +56,7 @@
 ): Server =>
   boundRequests(
     createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (req, res) => {
-      if (req.headers[FORWARDED_HEADER] !== undefined) {
+      if (isForwarded(req)) {
         serveForwarded(req, res);
         return;
       }
--- a/packages/gateway/src/server/closedConnections.ts
+++ b/packages/gateway/src/server/closedConnections.ts
@@ -8,9 +8,10 @@
 /** Number of requests without an answer that a line names. */
 const MAX_UNANSWERED_LOGGED = 20;
 
-/** Creates the closer of a server, which also refuses malformed requests on it. */
+/** Creates the closer of a server, which also refuses malformed requests on it; a stop waits for the responses to requests that are `isAwaited`. */
 export const createConnectionCloser = (
   server: Server,
+  isAwaited: (req: IncomingMessage) => boolean,
   { wire, metrics, log }: Pick<Components, 'wire' | 'metrics' | 'log'>,
 ): ConnectionCloser => {
   const idOf = (req: IncomingMessage) => requestIdOf(req, wire.headers);
@@ -24,7 +25,7 @@
       unanswered: unanswered.slice(0, MAX_UNANSWERED_LOGGED),
     });
   };
-  const closer = new ConnectionCloser(server, idOf, onClosed);
+  const closer = new ConnectionCloser(server, { idOf, isAwaited, onClosed });
   refuseMalformed(server, closer);
   return closer;
 };
--- a/packages/http-json/src/__tests__/lingeringClose.test.ts
+++ b/packages/http-json/src/__tests__/lingeringClose.test.ts
@@ -19,6 +19,7 @@
 let sockets: Socket[];
 
 const idOf = ({ url }: IncomingMessage): string | undefined => url;
+const isAwaited = ({ url }: IncomingMessage): boolean => url !== '/poll';
 const answerAtOnce = (_: IncomingMessage, res: ServerResponse): void => {
   res.end('answer');
 };
@@ -26,7 +27,8 @@
   closed = [];
   sockets = [];
   server = createServer(handle);
-  closer = new ConnectionCloser(server, idOf, (each) => closed.push(each), LIMITS);
+  const onClosed = (each: ClosedConnection) => closed.push(each);
+  closer = new ConnectionCloser(server, { idOf, isAwaited, onClosed, limits: LIMITS });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -156,6 +158,21 @@
     expect(closed).toMatchObject([{ reason: 'stop', endedBy: 'peer', unanswered: [] }]);
   });
 
+  it('are closed at once if only responses are pending that it does not wait for', async () => {
+    // Guards against stops that last as long as peers' polls.
+    await listen((_, res) => {
+      setTimeout(() => res.end('late answer'), 100);
+    });
+    const { socket, received } = ask(REQUEST.replace('GET / ', 'GET /poll '));
+    await sleep(50);
+    const stopping = closer.closeAll(1000);
+    expect(await received).toBe('');
+    await sleep(100);
+    socket.end();
+    await stopping;
+    expect(closed).toMatchObject([{ reason: 'stop', endedBy: 'peer', unanswered: ['/poll'] }]);
+  });
+
   it.each([
     { framing: 'that ends with its connection', isReset: true, headers: {} },
     { framing: 'of a known length', isReset: false, headers: { 'content-length': 10 } },
--- a/packages/http-json/src/lingeringClose.ts
+++ b/packages/http-json/src/lingeringClose.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Why a server closes a connection. */
 export type CloseReason = 'answered' | 'idle' | 'refused' | 'stop';
@@ -48,6 +49,22 @@
   maxConnections: 1000,
 };
 
+/** What varies between the servers. */
+export interface CloserOptions {
+  idOf: (req: IncomingMessage) => string | undefined;
+  /** Whether a stop waits for the response to a request. */
+  isAwaited: (req: IncomingMessage) => boolean;
+  onClosed: (closed: ClosedConnection) => void;
+  limits: LingerLimits;
+}
+
+const DEFAULT_OPTIONS: CloserOptions = {
+  idOf: () => undefined,
+  isAwaited: () => true,
+  onClosed: () => {},
+  limits: LINGER_LIMITS,
+};
+
 /** The state of a connection whose sending half is closed. */
 interface Closing {
   reason: CloseReason;
@@ -98,12 +115,13 @@
 
   private onAllClosed = () => {};
 
+  private readonly options: CloserOptions;
+
   constructor(
     private readonly server: Server,
-    private readonly idOf: (req: IncomingMessage) => string | undefined = () => undefined,
-    private readonly onClosed: (closed: ClosedConnection) => void = () => {},
-    private readonly limits: LingerLimits = LINGER_LIMITS,
+    options: Partial<CloserOptions> = {},
   ) {
+    this.options = { ...DEFAULT_OPTIONS, ...options };
     server.on('connection', (socket: Socket) => this.accept(socket));
     server.on('request', (req: IncomingMessage, res: ServerResponse) => this.track(req, res));
     server.on('timeout', (socket: Socket) => this.close(socket, 'idle'));
@@ -133,11 +151,15 @@
   close(socket: Socket, reason: CloseReason): void {
     const connection = this.open.get(socket);
     if (!connection || connection.closing || socket.destroyed) return;
-    const { maxMs, maxConnections } = this.limits;
+    const { maxMs, maxConnections } = this.options.limits;
     const { unanswered, closing } = this.beginClose(connection, reason);
     closing.timer = setTimeout(() => this.end(connection, 'time'), maxMs).unref();
-    // Node.js tells only the first of them, and only once the connection is gone.
-    unanswered.forEach((res) => res.emit('close'));
+    unanswered.forEach((res) => {
+      // A later write would destroy the socket with all that it has not sent.
+      if (res.socket === socket && !res.writableEnded) res.detachSocket(socket);
+      // Node.js tells only the first of them, and only once the connection is gone.
+      res.emit('close');
+    });
     socket.setTimeout(0);
     socket.end();
     this.discardInput(socket);
@@ -148,23 +170,29 @@
     this.end(oldest, 'number');
   }
 
-  /** Stops listening, and closes all connections, each after its pending responses; cuts off what is left after `ms`, and resolves then. */
+  /** Stops listening, and closes all connections, each after the responses that are awaited; cuts off what is left after `ms`, and resolves then. */
   async closeAll(ms: number): Promise<void> {
     this.isStopping = true;
     // The method of the http server destroys connections that are not in use.
     if (this.server.listening) NetServer.prototype.close.call(this.server);
-    this.open.forEach(({ socket, pending }) => {
-      if (pending.size === 0) this.close(socket, 'stop');
-    });
-    const timer = setTimeout(() => this.open.forEach((each) => this.cutOff(each)), ms);
+    this.open.forEach((connection) => this.closeWhenAnswered(connection));
+    let timer: NodeJS.Timeout | undefined;
     await new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, ms);
       this.onAllClosed = resolve;
       if (this.open.size === 0) resolve();
     });
     clearTimeout(timer);
+    this.open.forEach((connection) => this.cutOff(connection));
+    // The connections that were cut off are reported at the end of this turn of the event loop.
+    await sleep(1);
     this.server.close();
   }
 
+  private closeWhenAnswered({ socket, pending }: Connection): void {
+    if (![...pending].some(({ req }) => this.options.isAwaited(req))) this.close(socket, 'stop');
+  }
+
   private accept(socket: Socket): void {
     const connection: Connection = { socket, pending: new Set() };
     this.open.set(socket, connection);
@@ -183,8 +211,8 @@
     connection.pending.add(res);
     res.once('close', () => {
       connection.pending.delete(res);
-      if (res.writableFinished) connection.lastAnswered = this.idOf(req);
-      if (this.isStopping && connection.pending.size === 0) this.close(req.socket, 'stop');
+      if (res.writableFinished) connection.lastAnswered = this.options.idOf(req);
+      if (this.isStopping) this.closeWhenAnswered(connection);
     });
   }
 
@@ -195,14 +223,14 @@
       reason,
       since: performance.now(),
       endedBy: 'peer',
-      unanswered: unanswered.map(({ req }) => this.idOf(req)),
+      unanswered: unanswered.map(({ req }) => this.options.idOf(req)),
     };
     return { unanswered, closing: Object.assign(connection, { closing }).closing };
   }
 
   private discard(connection: Connection, bytes: number): void {
     const { closing, socket } = connection;
-    const { maxBytes, maxMsOverBytes } = this.limits;
+    const { maxBytes, maxMsOverBytes } = this.options.limits;
     const discardedBytes = (connection.discardedBytes ?? 0) + bytes;
     Object.assign(connection, { discardedBytes });
     if (discardedBytes <= maxBytes) return;
@@ -235,7 +263,7 @@
     if (this.open.size === 0) this.onAllClosed();
     if (!closing) return;
     clearTimeout(closing.timer);
-    this.onClosed({
+    this.options.onClosed({
       reason: closing.reason,
       endedBy: closing.endedBy,
       lastAnswered,
