--- a/packages/gateway/src/server/forwardedServer.ts
+++ b/packages/gateway/src/server/forwardedServer.ts
@@ -7,6 +7,7 @@
 import type { BehaviorSubject } from 'rxjs';
 import { SpanKind } from '@opentelemetry/api';
 import { intersectHomeRegions } from '@cardamomladder/customers';
+import { BodyError } from '@cardamomladder/http-json';
 import type { Route } from '@cardamomladder/routing';
 import { tracer } from '@cardamomladder/telemetry';
 import type { InstanceId, RequestId } from '@cardamomladder/types';
@@ -136,6 +137,10 @@
   return (req: IncomingMessage, res: ServerResponse): void => {
     if (!connections.trackUntilAnswered(req, res, phase)) return;
     handle(req, res).catch((error: Error) => {
+      if (error instanceof BodyError) {
+        rejectNotRun(res, error.message, 0);
+        return;
+      }
       log.write('failed', requestIdOf(req, wire.headers), { reason: error.message });
       if (!res.headersSent) sendGatewayResponse(res, { status: 502, message: 'internal error' });
     });
