Keep the connection after a request that names no host

Node.js answers such a request itself, with 400 and Connection: close, unseen by the gateway: a request behind it had been sent to a target, and got no answer. The gateway now answers it, and the connection goes on.

--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -184,12 +184,16 @@
       recordCallerLeft(requestIdOf(req, wire.headers), { sends: 0, arrivedAt }, options);
       return;
     }
+    if (req.headers.host === undefined) {
+      reject.malformed(res, requestIdOf(req, wire.headers), 'the request names no host');
+      return;
+    }
     const { routes } = configured;
     if (!routes) {
       reject.notRun(res, 'no configuration yet', NO_CONFIGURATION_RETRY_MS);
       return;
     }
-    const route = routes(req.headers.host ?? '', req.url ?? '/');
+    const route = routes(req.headers.host, req.url ?? '/');
     if (!route) {
       log.write('no-route', requestIdOf(req, wire.headers), {
         configuration: clusterState.configuration?.version,
@@ -211,6 +215,8 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       requestTimeout: 0,
+      // Node.js would close the connection although later requests of it are at targets.
+      requireHostHeader: false,
       noDelay: true,
     },
     (req, res) => {
