Take answers without a body for complete

An answer to HEAD, or a 204 or 304, that states no length was taken for one that ends with its connection: the instance waited for that end, sent lookups again, and answered 502; a length of 0 would have been added where other requests were pending. Such answers end with their head.

--- a/packages/gateway/src/requests/chooseRetry.ts
+++ b/packages/gateway/src/requests/chooseRetry.ts
@@ -29,7 +29,7 @@
 const mayRetry = (execution: RequestExecution, outcome: AttemptOutcome): boolean => {
   const { request, ctx } = execution;
   if (execution.ended || !execution.maySendMore || execution.quarantined) return false;
-  if (!shouldRetry(request.route.kind, outcome)) return false;
+  if (!shouldRetry(request.route.kind, outcome, request.method)) return false;
   return request.deadlineAt - ctx.now() >= MIN_SEND_TIME_MS;
 };
 
--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -3,7 +3,7 @@
 import { breakOff, endsWithConnection } from '@cardamomladder/http-json';
 import { closeAfter } from '../server/callerConnections';
 import type { AttemptOutcome } from '../targets/attempt';
-import { completenessCheck, isFramed } from '../targets/attempt';
+import { completenessCheck, isBodiless, isFramed } from '../targets/attempt';
 
 /** Headers that apply to a single connection and aren't forwarded (RFC 9110, 7.6.1). */
 const HOP_BY_HOP_HEADERS = new Set([
@@ -50,7 +50,8 @@
 ): Promise<'complete' | 'cut'> => {
   const headers = forwardedHeaders(response.head);
   const { remaining } = response;
-  const endsConnection = !isFramed(response.head) && closeAfter(res);
+  const { method = 'GET' } = res.req;
+  const endsConnection = !isFramed(response.head, method) && closeAfter(res);
   if (endsConnection) {
     // Without framing a truncated response can't be detected, so no length or
     // final chunk may be added that would mark it as complete.
@@ -60,12 +61,13 @@
   }
   if (!remaining) {
     const body = Buffer.concat(response.chunks);
-    if (!endsConnection) headers['content-length'] ??= body.length;
+    if (!endsConnection && !isBodiless(response.head, method))
+      headers['content-length'] ??= body.length;
     res.writeHead(response.status, headers);
     res.end(body);
     return Promise.resolve('complete');
   }
-  const isComplete = completenessCheck(remaining);
+  const isComplete = completenessCheck(remaining, method);
   res.writeHead(response.status, headers);
   response.chunks.forEach((chunk) => res.write(chunk));
   return new Promise((resolve) => {
--- a/packages/gateway/src/requests/retryPolicy.ts
+++ b/packages/gateway/src/requests/retryPolicy.ts
@@ -15,13 +15,17 @@
 /** Minimum time left before the deadline for a retry, ms. */
 export const MIN_SEND_TIME_MS = 30;
 /** True if a retry may help and can't break at-most-once execution. */
-export const shouldRetry = (kind: RequestKind, outcome: AttemptOutcome): boolean => {
+export const shouldRetry = (
+  kind: RequestKind,
+  outcome: AttemptOutcome,
+  method = 'GET',
+): boolean => {
   if (outcome.kind === 'not-run') return true;
   if (!isIdempotent(kind)) return false;
   if (outcome.kind === 'lost') return outcome.reason !== 'cancelled';
   if (outcome.remaining !== undefined) return false;
   // A response without framing may be truncated.
-  return outcome.status >= FIRST_SERVER_ERROR || !isFramed(outcome.head);
+  return outcome.status >= FIRST_SERVER_ERROR || !isFramed(outcome.head, method);
 };
 
 /** The longest recent response times, which determine a send's timeout and whether a retry can finish in time. */
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -170,7 +170,11 @@
     mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
     if (outcome.kind === 'answer') lastResponse = outcome;
     // A response may arrive while the retry waits for the budget.
-    if (retryWhileWaiting && outcome.kind === 'answer' && !shouldRetry(request.route.kind, outcome))
+    if (
+      retryWhileWaiting &&
+      outcome.kind === 'answer' &&
+      !shouldRetry(request.route.kind, outcome, request.method)
+    )
       return finish(execution, outcome, mayHaveRun, destination);
     if (reachedNoTarget(outcome)) execution.countUnreachableSend();
     const retry =
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -106,19 +106,27 @@
   return !success || response.headers[names.signature] !== undefined;
 };
 
-/** True if the response declares its length or is chunked; otherwise it ends with the connection. */
-export const isFramed = (response: IncomingMessage): boolean =>
+/** Statuses of responses that end with their head. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
+/** True if a response to a request of `method` ends with its head. */
+export const isBodiless = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
+  method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+
+/** True if the end of the response to a request of `method` is known without that of its connection. */
+export const isFramed = (response: IncomingMessage, method: string): boolean =>
   response.headers['content-length'] !== undefined ||
-  response.headers['transfer-encoding'] !== undefined;
+  response.headers['transfer-encoding'] !== undefined ||
+  isBodiless(response, method);
 
 /**
  * Returns a function that tells, after a response has ended, whether it is
  * complete. Node reports a response without framing as complete even if the
  * connection was reset; so the end of the connection is checked too.
  */
-export const completenessCheck = (response: IncomingMessage): (() => boolean) => {
+export const completenessCheck = (response: IncomingMessage, method: string): (() => boolean) => {
   const { socket } = response;
-  return () => response.complete && (isFramed(response) || socket.readableEnded);
+  return () => response.complete && (isFramed(response, method) || socket.readableEnded);
 };
 
 /** The reason if the response states that the request did not run, and doesn't name another request. */
@@ -206,7 +214,7 @@
     options.onStatement(statement, 'run');
     const status = response.statusCode ?? 0;
     const chunks: Buffer[] = [];
-    const isComplete = completenessCheck(response);
+    const isComplete = completenessCheck(response, options.method);
     let size = 0;
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
