Hold bodies in blocks, so that small chunks take no more memory than their bytes

Cause: bodies were kept as a list of the Buffers in which they arrived, one for each chunk, and bounded by the sum of their bytes. A Buffer takes some 190 bytes of the heap whatever it holds, so a million of one byte fill a heap of 200 MB.

While a caller reads slowly, the connection of its target is held (ReadPacer.hold), where before the message was paused: Node.js keeps what is parsed meanwhile as a Buffer for each chunk. A response that is too large to buffer and that nobody relays, since its caller has left, is given up; it stayed open.

--- a/packages/gateway/src/peers/client.ts
+++ b/packages/gateway/src/peers/client.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import type { Transfer, TransferLimits } from '@cardamomladder/http-json';
-import { PacedAgent, limitTransfer } from '@cardamomladder/http-json';
+import { PacedAgent, ReceivedBytes, limitTransfer } from '@cardamomladder/http-json';
 import { splitAddress } from '@cardamomladder/types';
 import type { PeerRouter } from './router';
 
@@ -22,12 +22,12 @@
   onResponse: (response: PeerResponse) => void,
   onError: (error: Error) => void,
 ): void => {
-  const chunks: Buffer[] = [];
+  const received = new ReceivedBytes();
   res.on('error', onError);
-  res.on('data', (chunk: Buffer) => chunks.push(chunk));
+  res.on('data', (part: Buffer) => received.add(part));
   res.on('end', () => {
     try {
-      onResponse(JSON.parse(Buffer.concat(chunks).toString('utf8')) as PeerResponse);
+      onResponse(JSON.parse(received.toBuffer().toString('utf8')) as PeerResponse);
     } catch {
       onError(new Error(`the response (${res.statusCode}) is not JSON`));
     }
--- a/packages/gateway/src/targets/__tests__/attempt.test.ts
+++ b/packages/gateway/src/targets/__tests__/attempt.test.ts
@@ -66,6 +66,35 @@
   });
 });
 
+describe('a response that is too large to buffer', () => {
+  it('is given up if nobody takes its rest', async () => {
+    // Guards against a target's connection that stays open after the caller has left.
+    let closed = false;
+    const body = 'x'.repeat(3_000_000);
+    const server = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.on('close', () => {
+        closed = true;
+      });
+      const head = 'HTTP/1.1 200 OK\r\nx-id: r\r\nx-sig: s\r\n';
+      socket.once('data', () =>
+        socket.write(`${head}content-length: ${body.length}\r\n\r\n${body}`),
+      );
+    });
+    closing.push(() => server.close());
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const connections = new TargetConnections(2, now, new IdleLimit());
+    const attempt = beginSend((server.address() as AddressInfo).port, connections);
+    const outcome = await attempt.outcome;
+    expect(outcome.kind === 'answer' && outcome.remaining !== undefined).toBe(true);
+    attempt.cancel('cancelled');
+    await vi.waitUntil(() => closed);
+    connections.destroy();
+  });
+});
+
 describe('a request that Node.js refuses to send', () => {
   const TIMEOUT_MS = 50;
 
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -7,7 +7,7 @@
 import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import { Result } from 'neverthrow';
-import { discardRest } from '@cardamomladder/http-json';
+import { ReceivedBytes, discardRest, readPacer } from '@cardamomladder/http-json';
 import type { HeaderNames, LoadReport, TargetStatement, WireProtocol } from '../wireProtocol';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { TargetConnections } from './connections';
@@ -48,6 +48,14 @@
 /** Reason why it is unknown whether a request ran. */
 export type LostReason = 'timeout' | 'closed' | 'garbled' | 'cancelled';
 
+/** The rest of a response that is too large to buffer. Its connection is not read until it is released. */
+export interface RemainingBody {
+  message: IncomingMessage;
+  /** What arrives from now on. */
+  received: ReceivedBytes;
+  release: () => void;
+}
+
 /** Outcome of a send. */
 export type AttemptOutcome =
   | {
@@ -55,8 +63,8 @@
       status: number;
       head: IncomingMessage;
       chunks: Buffer[];
-      /** The rest of a response too large to buffer; undefined if `chunks` is the complete body. */
-      remaining?: IncomingMessage;
+      /** Undefined if `chunks` is the complete body. */
+      remaining?: RemainingBody;
       load?: LoadReport;
     }
   | {
@@ -171,6 +179,8 @@
   });
   let connected = false;
   let settled = false;
+  /** A response whose rest is left to whoever gets the outcome. */
+  let unclaimed: IncomingMessage | undefined;
   let connectTimer: NodeJS.Timeout | undefined;
   const timer = setTimeout(() => finish({ kind: 'lost', reason: 'timeout' }), options.timeoutMs);
 
@@ -213,20 +223,20 @@
     }
     options.onStatement(statement, 'run');
     const status = response.statusCode ?? 0;
-    const chunks: Buffer[] = [];
+    const received = new ReceivedBytes();
     const isComplete = completenessCheck(response, options.method);
-    let size = 0;
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size <= MAX_BUFFERED_RESPONSE_BYTES) return;
-      response.removeListener('data', onData);
-      response.pause();
-      finish({ kind: 'answer', status, head: response, chunks, remaining: response, load });
-    };
-    response.on('data', onData);
+    response.on('data', (part: Buffer) => {
+      received.add(part);
+      if (settled || received.size <= MAX_BUFFERED_RESPONSE_BYTES) return;
+      const release = readPacer.hold(response.socket);
+      const remaining = { message: response, received, release };
+      unclaimed = response;
+      finish({ kind: 'answer', status, head: response, chunks: received.take(), remaining, load });
+    });
     response.on('end', () => {
-      if (isComplete()) finish({ kind: 'answer', status, head: response, chunks, load });
+      if (settled) return;
+      if (isComplete())
+        finish({ kind: 'answer', status, head: response, chunks: received.take(), load });
       else finish({ kind: 'lost', reason: 'closed' });
     });
     response.on('error', () => finish({ kind: 'lost', reason: 'closed' }));
@@ -285,7 +295,10 @@
   return {
     outcome,
     isConnected: () => connected,
-    cancel: (reason) => finish({ kind: 'lost', reason }),
+    cancel: (reason) => {
+      finish({ kind: 'lost', reason });
+      unclaimed?.destroy();
+    },
   };
 };
 
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -3,6 +3,7 @@
 export { refuseMalformed } from './malformedRequests';
 export { PacedAgent } from './pacedAgent';
 export { ReadPacer, paceConnections, readPacer } from './readPacer';
+export { ReceivedBytes } from './receivedBytes';
 export { BodyError, MAX_JSON_BYTES, readBody, readBodyInTime, readJson, sendJson } from './server';
 export type { Transfer, TransferLimits } from './transferLimits';
 export { TransferTooLong, limitTransfer, whileProgressing, withinMs } from './transferLimits';
--- a/packages/http-json/src/server.ts
+++ b/packages/http-json/src/server.ts
@@ -1,5 +1,6 @@
 /** Reads and writes JSON bodies on Node `http` servers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ReceivedBytes } from './receivedBytes';
 
 /** Maximum size of a JSON body: the platform stores values of up to a megabyte, plus framing. */
 export const MAX_JSON_BYTES = 1_200_000;
@@ -37,17 +38,16 @@
       reject(failure);
       return;
     }
-    let chunks: Buffer[] = [];
-    let size = 0;
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limit) chunks.push(chunk);
-      else {
-        chunks = [];
-        resolve('too-large');
-      }
+    let received: ReceivedBytes | undefined = new ReceivedBytes();
+    req.on('data', (part: Buffer) => {
+      received?.add(part);
+      if (received === undefined || received.size <= limit) return;
+      received = undefined;
+      resolve('too-large');
+    });
+    req.on('end', () => {
+      if (received) resolve(received.toBuffer());
     });
-    req.on('end', () => resolve(Buffer.concat(chunks)));
     req.on('error', reject);
   });
 
