--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -9,12 +9,14 @@
   NARROW_LINK_KINDS,
   PARTITION_KINDS,
   SLOW_TARGET_KINDS,
+  SMALL_CHUNK_KINDS,
   WRITING_AHEAD_KINDS,
   planFaults,
   planLeavingCallers,
   planNarrowLinks,
   planPartitions,
   planSlowTargets,
+  planSmallChunks,
   planWritingAhead,
 } from './plan';
 export type {
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -64,6 +64,12 @@
 /** Callers that write before they have read, and stops of all instances in series. */
 export const WRITING_AHEAD_KINDS = ['callers-write-ahead', 'instances-stopped-in-series'] as const;
 
+/** Bodies in small chunks, of sound targets and callers. */
+export const SMALL_CHUNK_KINDS = [
+  'targets-answer-in-small-chunks',
+  'callers-upload-in-small-chunks',
+] as const;
+
 export interface PlannedFault {
   kind: (
     | typeof FAULT_KINDS
@@ -72,6 +78,7 @@
     | typeof SLOW_TARGET_KINDS
     | typeof LEAVING_KINDS
     | typeof WRITING_AHEAD_KINDS
+    | typeof SMALL_CHUNK_KINDS
   )[number];
   atMs: number;
   forMs: number;
@@ -211,3 +218,19 @@
   };
   return [...callers, ...(hasSeries ? [series] : [])].sort((a, b) => a.atMs - b.atMs);
 };
+
+/** Separates the small chunks of a seed from its other faults, whose plan stays as it is. */
+const SMALL_CHUNK_SEED_OFFSET = 5_000_011;
+const MIN_SMALL_CHUNKS = 3;
+const MAX_SMALL_CHUNKS = 6;
+
+/** Returns the times of a seed at which bodies come in small chunks; they may overlap. */
+export const planSmallChunks = (seed: number, totalMs: number): PlannedFault[] => {
+  const random = seededRandom(Math.imul(seed + SMALL_CHUNK_SEED_OFFSET, SEED_MULTIPLIER));
+  const count = MIN_SMALL_CHUNKS + Math.floor(random() * (MAX_SMALL_CHUNKS - MIN_SMALL_CHUNKS + 1));
+  return Array.from({ length: count }, (): PlannedFault => {
+    const kind = SMALL_CHUNK_KINDS[Math.floor(random() * SMALL_CHUNK_KINDS.length)];
+    const forMs = MIN_DURATION_MS + random() * (MAX_DURATION_MS - MIN_DURATION_MS);
+    return { kind, atMs: random() * (totalMs - forMs), forMs, which: random() };
+  }).sort((a, b) => a.atMs - b.atMs);
+};
