Bound the memory of all bodies that an instance holds, and read no more than that

Cause, the same in both directions: each body had a bound, their sum had none. Uploads are held until they are answered; answers of up to 1 MiB were taken whole from targets and waited behind the answers before them, whether their caller read or not.

Change: MemoryBudget counts what is held, 32 MiB of uploads and 48 MiB of answers. A body without room until its deadline is refused as not run (503, Retry-After). - Answers: the one that is next on its caller's connection is passed on as it arrives instead of being taken whole, so that it needs no room. The time for which an answer waits is not the target's: it is no silence, no response time, and no reason to repeat.

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -1,7 +1,7 @@
 /** Creates the servers of one instance and binds them to their addresses. */
 import type { IncomingMessage, Server } from 'node:http';
 import type { Follower, Registration } from '@cardamomladder/fleet';
-import { paceConnections, readPacer } from '@cardamomladder/http-json';
+import { MemoryBudget, paceConnections, readPacer } from '@cardamomladder/http-json';
 import type { SocketAddress, TargetCrash } from '@cardamomladder/types';
 import { splitAddress } from '@cardamomladder/types';
 import type { Components } from './components';
@@ -37,6 +37,17 @@
 /** How long callers cache a directory response, in seconds: callers move off a stopping instance within this time, and a longer TTL means fewer directory requests. */
 const DIRECTORY_TTL_SECONDS = 2;
 
+/** Memory of the bodies of requests, which one body may exceed, bytes. */
+const MAX_BODIES_BYTES = 32 * 1024 * 1024;
+/** Memory of the answers that wait to be passed on, bytes. */
+const MAX_ANSWERS_BYTES = 48 * 1024 * 1024;
+
+/** The memory of the bodies that the process holds, in each direction. */
+interface HeldBodies {
+  bodies: MemoryBudget;
+  answers: MemoryBudget;
+}
+
 /** The running servers. */
 export interface Listeners {
   /** Caller connections, tracked for a graceful shutdown. */
@@ -116,11 +127,14 @@
   fairShares: FairShares,
   paceProbes: PaceProbes,
   reads: ReadBarrier,
+  { bodies, answers }: HeldBodies,
 ) => {
   const { settings, store, clusterState, phase, wire, fleet, self, metrics, log, now } = components;
   const { plannedEnd, quarantine, recentAnswers, crashReports } = components;
   return createCallerServer({
     quotas,
+    bodies,
+    answers,
     fairShares,
     quarantine,
     recentAnswers,
@@ -238,11 +252,24 @@
   const reach = createReachMonitor(components, registry);
   const acceptQueue = createAcceptQueue(components);
   const reads = new ReadBarrier({ now, mayAcceptMore: () => acceptQueue.mayHoldMore });
+  const held: HeldBodies = {
+    bodies: new MemoryBudget(MAX_BODIES_BYTES),
+    answers: new MemoryBudget(MAX_ANSWERS_BYTES),
+  };
   const {
     server: callers,
     connections,
     serveForwarded,
-  } = createCallerListener(components, registry, reach, quotas, fairShares, paceProbes, reads);
+  } = createCallerListener(
+    components,
+    registry,
+    reach,
+    quotas,
+    fairShares,
+    paceProbes,
+    reads,
+    held,
+  );
   const directoryTtl = Math.min(DIRECTORY_TTL_SECONDS, bounds.directoryTtlSeconds);
   pace.observe(registry);
   const exchange = startPeerExchange(components, registry, registration, fairShares);
--- a/packages/gateway/src/requests/__tests__/unsentRequest.test.ts
+++ b/packages/gateway/src/requests/__tests__/unsentRequest.test.ts
@@ -1,5 +1,6 @@
 /** What a send that Node.js refuses leaves behind: nothing. */
 import { describe, expect, it } from 'vitest';
+import { MemoryBudget } from '@cardamomladder/http-json';
 import { ReportStaleness, RetryBudget, newTarget } from '@cardamomladder/steering';
 import {
   failureDomainName,
@@ -67,6 +68,7 @@
       log: { write: () => {} },
       now,
     },
+    openAnswerMemory: () => new MemoryBudget(1).open(),
     span: trace.getTracer('test').startSpan('test'),
     countSend: () => {},
     setCurrentAttempt: () => {},
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -1,5 +1,6 @@
 /** A caller's request as the gateway handles it: route, identity and deadline. */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { MemoryBudget } from '@cardamomladder/http-json';
 import { readBodyInTime } from '@cardamomladder/http-json';
 import type { Customer } from '@cardamomladder/customers';
 import type { Route } from '@cardamomladder/routing';
@@ -103,10 +104,27 @@
   (req.headers['content-length'] !== undefined && req.headers['content-length'] !== '0');
 
 /** A complete body (undefined if the request has none), or why it was given up. */
-type ReceivedBody = Buffer | undefined | 'too-large' | 'too-late';
+type ReceivedBody = Buffer | undefined | 'too-large' | 'too-late' | 'no-room';
 
-/** Reads the body of a request, if it has one, within limits of size and time. */
+/** Limits of the body of a request, and the memory that all bodies share. */
+export interface BodyLimits {
+  maxBytes: number;
+  maxMs: number;
+  memory: MemoryBudget;
+}
+
+/** Reads the body of a request, if it has one; it counts as held until the response is closed. */
 export const receiveBody = async (
   req: IncomingMessage,
-  { maxBytes, maxMs }: { maxBytes: number; maxMs: number },
-): Promise<ReceivedBody> => (hasBody(req) ? readBodyInTime(req, maxBytes, maxMs) : undefined);
+  res: ServerResponse,
+  { maxBytes, maxMs, memory }: BodyLimits,
+): Promise<ReceivedBody> => {
+  if (!hasBody(req)) return undefined;
+  const holder = memory.open();
+  res.once('close', holder.close);
+  const body = await readBodyInTime(req, maxBytes, maxMs, holder);
+  if (Buffer.isBuffer(body)) return body;
+  const hadRoom = !holder.isWaiting();
+  holder.close();
+  return hadRoom ? body : 'no-room';
+};
--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -57,6 +57,8 @@
     requestId: request.id,
     timeoutMs: request.deadlineAt - sentAt,
     confirm: () => execution.endedBeforeSend(),
+    memory: execution.openAnswerMemory(),
+    whenNext: (callback) => execution.whenNext(callback),
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     connections: peer.connections,
     wire: ctx.wire,
@@ -87,6 +89,8 @@
     likelyCached: false,
     sentAt,
     isConnected: attempt.isConnected,
+    waitsForRoom: attempt.waitsForRoom,
+    tookMs: () => ctx.now() - sentAt,
     cancel: () => attempt.cancel('timeout'),
   };
 };
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
 import type { CrashReports } from '@cardamomladder/fleet';
+import type { MemoryBudget, MemoryHolder } from '@cardamomladder/http-json';
 import type {
   AwaitedResponse,
   OverShare,
@@ -62,6 +63,8 @@
   versions: () => { configuration: number } & StorePosition;
   /** Tells when a request may be sent without missing that its caller has left. */
   reads: Pick<ReadBarrier, 'isRecent' | 'passed'>;
+  /** The memory that answers share until they are passed on. */
+  answers: MemoryBudget;
   /** When this process ends, ms on the monotonic clock; Infinity unless it is stopping. */
   endsAt: () => number;
   metrics: GatewayMetrics;
@@ -115,6 +118,8 @@
 
   private endWait: (() => void) | undefined;
 
+  private answerMemory: MemoryHolder | undefined;
+
   constructor(
     readonly request: CallerRequest,
     readonly req: IncomingMessage,
@@ -223,6 +228,20 @@
     this.currentAttempt = attempt;
   }
 
+  /** The memory of the answer to the next send, held until the response is closed; that of an earlier answer counts no longer. */
+  openAnswerMemory(): MemoryHolder {
+    if (!this.answerMemory) this.res.once('close', () => this.answerMemory?.close());
+    this.answerMemory?.close();
+    this.answerMemory = this.ctx.answers.open();
+    return this.answerMemory;
+  }
+
+  /** Calls back once the responses before this one on the caller's connection are complete. */
+  whenNext(callback: () => void): void {
+    if (this.res.socket) callback();
+    else this.res.once('socket', callback);
+  }
+
   /** Starts measuring how long the request takes; called with its first send. */
   startWork(): void {
     const { request, ctx } = this;
@@ -282,11 +301,13 @@
       sendGatewayResponse(this.res, { status: 504, message: 'no answer in time' });
     this.endWait?.();
     this.currentAttempt?.cancel(outcome === 'timed-out' ? 'timeout' : 'cancelled');
+    this.currentAttempt?.discard();
   }
 
   /** Ends the send in progress after an exception. */
   endEarly(): void {
     this.ended ??= 'failed';
     this.currentAttempt?.cancel('cancelled');
+    this.currentAttempt?.discard();
   }
 }
--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -74,22 +74,25 @@
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
     let release: (() => void) | undefined = remaining.release;
+    const letMoreArrive = () => {
+      release?.();
+      release = undefined;
+    };
     const abort = () => {
       clearTimeout(timer);
       breakOff(res);
       resolve('cut');
     };
     let hasWaitedForCaller = false;
+    const writeReceived = () => received.take().forEach((block) => res.write(block));
     /** Writes what has arrived; lets more arrive once the caller has taken it. */
     const passOn = () => {
-      received.take().forEach((block) => res.write(block));
-      if (res.writableNeedDrain) {
+      if (res.writableEnded) return;
+      writeReceived();
+      if (res.writableNeedDrain && !message.readableEnded) {
         hasWaitedForCaller = true;
         release ??= readPacer.hold(message.socket);
-      } else {
-        release?.();
-        release = undefined;
-      }
+      } else letMoreArrive();
     };
     const checkDelivery = () => {
       const isLengthKnown = response.head.headers['content-length'] !== undefined;
@@ -109,25 +112,31 @@
         passOn();
       });
     });
-    message.on('end', () => {
+    const finish = () => {
       clearTimeout(timer);
+      letMoreArrive();
       if (!isComplete()) {
         abort();
         return;
       }
-      passOn();
+      writeReceived();
       res.end();
       resolve('complete');
-    });
+    };
+    message.on('end', finish);
     message.on('error', abort);
     message.on('aborted', abort);
     res.on('drain', passOn);
     res.on('close', () => {
       clearTimeout(timer);
+      letMoreArrive();
       message.destroy();
       resolve('cut');
     });
     passOn();
+    // It may have ended before the outcome was known here.
+    if (message.readableEnded) finish();
+    else if (message.destroyed) abort();
   });
 };
 
--- a/packages/gateway/src/requests/retryWhileWaiting.ts
+++ b/packages/gateway/src/requests/retryWhileWaiting.ts
@@ -64,7 +64,7 @@
   const { request, ctx } = execution;
   const waitMs = retryTimeoutOf(execution, send, destination);
   const first = await waitForSend(execution, send, destination, waitMs);
-  if (first === 'ended') return undefined;
+  if (first === 'ended' || send.waitsForRoom()) return undefined;
   if (first === 'silent') return chooseRetry(execution, TIMED_OUT);
   if (!send.isConnected()) {
     // Ends the send as not run; the retry then follows from its outcome.
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -67,6 +67,10 @@
   sentAt: number;
   /** True once the request may run at the target. */
   isConnected: () => boolean;
+  /** True while its response has arrived in part and waits for room. */
+  waitsForRoom: () => boolean;
+  /** Time until the target had answered, or else until now, ms. */
+  tookMs: () => number;
   cancel: () => void;
 }
 
@@ -129,6 +133,19 @@
   const watched = ctx.reach.startSend(placed.id);
   const endSend = placed.unanswered.start(sentAt, expectedMs(execution, likelyCached && !isCold));
   placed.cachedObjects.add(request.key);
+  /** When the target had answered, or nothing more was expected from it. */
+  let endedAt: number | undefined;
+  let silent = false;
+  const endMeasurement = (end: SendEnd, outcome: 'answered' | 'lost'): void => {
+    if (endedAt !== undefined) return;
+    endedAt = ctx.now();
+    endWatch();
+    placed.load.ownRequests -= 1;
+    watched.end(end);
+    silent = placed.unanswered.isUnresponsive(endedAt);
+    endSend(outcome, endedAt);
+  };
+  const tookMs = () => (endedAt ?? ctx.now()) - sentAt;
   const parent = trace.setSpan(context.active(), execution.span);
   const span = spans.startSpan('gateway.send', { kind: SpanKind.CLIENT }, parent);
   const attempt = sendAttempt({
@@ -141,6 +158,10 @@
     requestId: request.id,
     timeoutMs: request.deadlineAt - sentAt,
     confirm: () => execution.endedBeforeSend(),
+    memory: execution.openAnswerMemory(),
+    // The time for which the response waits is not the target's.
+    onWait: () => endMeasurement('answered', 'answered'),
+    whenNext: (callback) => execution.whenNext(callback),
     connections,
     wire: ctx.wire,
     onStatement: (statement, source) => applyStatement({ statement, source, sentAt }, placed, ctx),
@@ -148,30 +169,25 @@
   });
   execution.setCurrentAttempt(attempt);
   const outcome = attempt.outcome.then((result) => {
-    endWatch();
-    placed.load.ownRequests -= 1;
-    watched.end(sendEndOf(result));
-    const silent = placed.unanswered.isUnresponsive(ctx.now());
     const unsent = isUnsent(result);
+    endMeasurement(sendEndOf(result), result.kind === 'lost' || unsent ? 'lost' : 'answered');
     if (unsent && isCold) placed.coldSends.add(sentAt, -1);
     if (unsent) placed.selfReport.limit.cancelSend(ctx.now());
-    endSend(result.kind === 'lost' || unsent ? 'lost' : 'answered', ctx.now());
-    const tookMs = ctx.now() - sentAt;
     if ('load' in result && result.load?.pace !== undefined)
       ctx.registry.forService(request.service).statesPace = true;
     const { peakResponseTimes, pace } = ctx.registry.forService(request.service);
     const countsPace = pace.enabled;
     const usualMs = placed.responseMs;
-    recordOutcome(placed, result, tookMs, { ...sent, silent, countsPace }, ctx.now());
+    recordOutcome(placed, result, tookMs(), { ...sent, silent, countsPace }, ctx.now());
     if (result.kind === 'answer') {
-      const ms = atUsualPace(tookMs, countsPace ? result.load?.pace : undefined, usualMs);
+      const ms = atUsualPace(tookMs(), countsPace ? result.load?.pace : undefined, usualMs);
       peakResponseTimes[likelyCached ? 'cached' : 'uncached'].record(ms, ctx.now());
     }
     if (result.kind === 'not-run' && !likelyCached) placed.cachedObjects.delete(request.key);
     span.end();
     const name = result.kind === 'answer' ? String(result.status) : result.reason;
     ctx.metrics.attempts.inc({ result: result.kind === 'answer' ? 'answer' : result.reason });
-    if (name !== '200') logSend(execution, target, { name, problem: problemOf(result) }, tookMs);
+    if (name !== '200') logSend(execution, target, { name, problem: problemOf(result) }, tookMs());
     return result;
   });
   return {
@@ -179,6 +195,8 @@
     likelyCached,
     sentAt,
     isConnected: attempt.isConnected,
+    waitsForRoom: attempt.waitsForRoom,
+    tookMs,
     cancel: () => attempt.cancel('timeout'),
   };
 };
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -134,10 +134,7 @@
   const ended = (outcome: AttemptOutcome) => {
     if (isUnsent(outcome)) withdrawal?.refund();
     if (destination.kind === 'peer') return;
-    ctx.admission.sendEnded(
-      request.service,
-      outcome.kind === 'answer' ? ctx.now() - send.sentAt : undefined,
-    );
+    ctx.admission.sendEnded(request.service, outcome.kind === 'answer' ? send.tookMs() : undefined);
   };
   send.outcome.then(ended, () => {});
   return send;
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -7,6 +7,7 @@
 import type { Customer, Identity } from '@cardamomladder/customers';
 import { identify, intersectHomeRegions } from '@cardamomladder/customers';
 import type { CallerLimits, Route } from '@cardamomladder/routing';
+import type { MemoryBudget } from '@cardamomladder/http-json';
 import { BodyError } from '@cardamomladder/http-json';
 import { tracer } from '@cardamomladder/telemetry';
 import type { InstanceId } from '@cardamomladder/types';
@@ -43,6 +44,8 @@
 const NO_CONFIGURATION_RETRY_MS = 200;
 /** Retry delay for callers that no region may serve, ms: only a new configuration changes that. */
 const NO_REGION_RETRY_MS = 5000;
+/** Retry delay for callers whose body found no room until their deadline, ms. */
+const NO_ROOM_RETRY_MS = 1000;
 /** Interval at which Node checks connections for header timeouts, ms. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 /** Latency metrics are in seconds. */
@@ -54,6 +57,8 @@
   phase: BehaviorSubject<Phase>;
   self: InstanceId;
   quotas: Pick<Quotas, 'admit' | 'refund' | 'describe'>;
+  /** The memory that bodies of requests share. */
+  bodies: MemoryBudget;
 }
 
 /** The server and its connections, which a graceful shutdown observes. */
@@ -76,7 +81,7 @@
 
 /** Creates the server; it responds with 503 until a configuration is loaded. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
-  const { clusterState, phase, wire, quotas, reads, metrics, log, now } = options;
+  const { clusterState, phase, wire, quotas, bodies, reads, metrics, log, now } = options;
   const connections = new CallerConnections((req) => requestIdOf(req, wire.headers), now);
   const configured = new ConfiguredRoutes(clusterState);
   const priorWait = new PriorWaitEstimator();
@@ -119,10 +124,15 @@
     }
     const waitMs = requestedTimeoutMs(req, wire.headers);
     const deadlineAt = deadlineOf(route, waitMs, arrivedAt);
-    const body = await receiveBody(req, {
+    const body = await receiveBody(req, res, {
       maxBytes: limits?.bodyBytes ?? MAX_HEAD_BYTES,
       maxMs: deadlineAt - now(),
+      memory: bodies,
     });
+    if (body === 'no-room') {
+      reject.notRun(res, 'no memory for the body', NO_ROOM_RETRY_MS);
+      return;
+    }
     if (body === 'too-late') {
       reject.bodyIncomplete(res, id, deadlineAt - arrivedAt);
       return;
--- a/packages/gateway/src/server/forwardedServer.ts
+++ b/packages/gateway/src/server/forwardedServer.ts
@@ -7,6 +7,7 @@
 import type { BehaviorSubject } from 'rxjs';
 import { SpanKind } from '@opentelemetry/api';
 import { intersectHomeRegions } from '@cardamomladder/customers';
+import type { MemoryBudget } from '@cardamomladder/http-json';
 import { BodyError } from '@cardamomladder/http-json';
 import type { Route } from '@cardamomladder/routing';
 import { tracer } from '@cardamomladder/telemetry';
@@ -51,11 +52,13 @@
   phase: BehaviorSubject<Phase>;
   configured: ConfiguredRoutes;
   connections: CallerConnections;
+  /** The memory that bodies of requests share. */
+  bodies: MemoryBudget;
 }
 
 /** Creates the handler of forwarded requests. */
 export const createForwardedServer = (options: ForwardedServerOptions) => {
-  const { self, phase, configured, connections, wire, metrics, log, now } = options;
+  const { self, phase, configured, connections, bodies, wire, metrics, log, now } = options;
 
   const rejectNotRun = (res: ServerResponse, reason: string, retryAfterMs: number): void => {
     metrics.forwardedForPeers.inc({ outcome: 'rejected' });
@@ -110,7 +113,7 @@
     }
     res.setHeader(wire.headers.requestId, id);
     const maxBytes = configured.limits?.bodyBytes ?? MAX_BODY_BYTES;
-    const body = await receiveBody(req, { maxBytes, maxMs: MAX_BODY_MS });
+    const body = await receiveBody(req, res, { maxBytes, maxMs: MAX_BODY_MS, memory: bodies });
     const route = configured.routes?.(req.headers.host ?? '', req.url ?? '/');
     const isServing = phase.value === 'serving' || phase.value === 'leaving';
     if (decoded.value.to !== self || !isServing) {
@@ -119,6 +122,12 @@
       rejectNotRun(res, `instance ${decoded.value.to} does not serve here`, 0);
       return;
     }
+    if (body === 'no-room') {
+      // Another peer may have room.
+      res.setHeader(CUT_OFF_HEADER, '');
+      rejectNotRun(res, 'no memory for the body', 0);
+      return;
+    }
     const request =
       route && body !== 'too-large' && body !== 'too-late'
         ? toRequest(req, id, route, decoded.value, body)
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -7,6 +7,7 @@
 import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import { Result } from 'neverthrow';
+import type { MemoryHolder } from '@cardamomladder/http-json';
 import { ReceivedBytes, discardRest, readPacer } from '@cardamomladder/http-json';
 import type { HeaderNames, LoadReport, TargetStatement, WireProtocol } from '../wireProtocol';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
@@ -39,6 +40,12 @@
   onStatement: (statement: TargetStatement, source: ResponseSource) => void;
   /** Called if the request opens a new connection. */
   onNewConnection?: () => void;
+  /** The memory of the response; without room its connection is not read. */
+  memory?: MemoryHolder;
+  /** Called each time that the response waits for room. */
+  onWait?: () => void;
+  /** Calls back once what arrives of the response can be passed on, as those before it on its caller's connection are complete. */
+  whenNext?: (callback: () => void) => void;
   /** Resolves when it is known again whether the request is wanted; called before it is written to a connection that opened late. */
   confirm?: () => Promise<unknown>;
 }
@@ -84,8 +91,12 @@
   outcome: Promise<AttemptOutcome>;
   /** True once a connection is established, so that the request may run. */
   isConnected: () => boolean;
+  /** True while its response has arrived in part and waits for room. */
+  waitsForRoom: () => boolean;
   /** Aborts the send by closing the connection, whereupon the target cancels the work. */
   cancel: (reason: LostReason) => void;
+  /** Gives up the rest of a response that is too large to buffer, if there is one. */
+  discard: () => void;
 }
 
 /** Time after the send's start from which it is asked again whether the request is wanted, ms: above the round trip between any two regions. */
@@ -167,7 +178,9 @@
 const unsendable = (error: Error): Attempt => ({
   outcome: Promise.resolve(unsendableOutcome(error)),
   isConnected: () => false,
+  waitsForRoom: () => false,
   cancel: () => {},
+  discard: () => {},
 });
 
 /** Sends a created request and determines its outcome. */
@@ -225,15 +238,41 @@
     const status = response.statusCode ?? 0;
     const received = new ReceivedBytes();
     const isComplete = completenessCheck(response, options.method);
-    response.on('data', (part: Buffer) => {
-      received.add(part);
-      if (settled || received.size <= MAX_BUFFERED_RESPONSE_BYTES) return;
+    const releases: (() => void)[] = [];
+    const holdConnection = (): (() => void) => {
       const release = readPacer.hold(response.socket);
+      releases.push(release);
+      return release;
+    };
+    const passOn = (): void => {
+      if (settled) return;
+      const release = holdConnection();
       const remaining = { message: response, received, release };
       unclaimed = response;
       finish({ kind: 'answer', status, head: response, chunks: received.take(), remaining, load });
+    };
+    const waitForRoom = ({ isWaiting, whenRoom }: MemoryHolder): void => {
+      const release = holdConnection();
+      whenRoom(release);
+      options.onWait?.();
+      // Whoever is next may read slowly, so its response is not read whole before it is passed on.
+      options.whenNext?.(() => {
+        if (!isWaiting()) return;
+        passOn();
+        release();
+      });
+    };
+    response.on('data', (part: Buffer) => {
+      received.add(part);
+      if (settled) return;
+      const { memory } = options;
+      const hasRoom = memory?.add(part.length) ?? true;
+      if (received.size > MAX_BUFFERED_RESPONSE_BYTES) passOn();
+      else if (memory && !hasRoom && !memory.isWaiting()) waitForRoom(memory);
     });
     response.on('end', () => {
+      // The next request may already have the connection.
+      releases.forEach((release) => release());
       if (settled) return;
       if (isComplete())
         finish({ kind: 'answer', status, head: response, chunks: received.take(), load });
@@ -295,10 +334,9 @@
   return {
     outcome,
     isConnected: () => connected,
-    cancel: (reason) => {
-      finish({ kind: 'lost', reason });
-      unclaimed?.destroy();
-    },
+    waitsForRoom: () => options.memory?.isWaiting() ?? false,
+    cancel: (reason) => finish({ kind: 'lost', reason }),
+    discard: () => unclaimed?.destroy(),
   };
 };
 
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -1,6 +1,8 @@
 export type { ClosedConnection } from './lingeringClose';
 export { ConnectionCloser, breakOff, endsWithConnection } from './lingeringClose';
 export { refuseMalformed } from './malformedRequests';
+export type { MemoryHolder } from './memoryBudget';
+export { MemoryBudget } from './memoryBudget';
 export { PacedAgent } from './pacedAgent';
 export { ReadPacer, paceConnections, readPacer } from './readPacer';
 export { ReceivedBytes } from './receivedBytes';
--- a/packages/http-json/src/server.ts
+++ b/packages/http-json/src/server.ts
@@ -1,5 +1,7 @@
 /** Reads and writes JSON bodies on Node `http` servers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { MemoryHolder } from './memoryBudget';
+import { readPacer } from './readPacer';
 import { ReceivedBytes } from './receivedBytes';
 
 /** Maximum size of a JSON body: the platform stores values of up to a megabyte, plus framing. */
@@ -29,9 +31,14 @@
 /**
  * Reads the whole request body; rejects if it can't be parsed; resolves with `too-large` as soon as it exceeds `limit`
  * bytes. The rest of an oversized body is not kept; it may never end, so that the
- * connection is to be closed some time after the response (`closeUnlessReceived`).
+ * connection is to be closed some time after the response (`closeUnlessReceived`). While
+ * `memory` has no room, the connection is not read; who passes it closes it.
  */
-export const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | 'too-large'> =>
+export const readBody = (
+  req: IncomingMessage,
+  limit: number,
+  memory?: MemoryHolder,
+): Promise<Buffer | 'too-large'> =>
   new Promise((resolve, reject) => {
     const failure = failedBodies.get(req);
     if (failure) {
@@ -40,10 +47,13 @@
     }
     let received: ReceivedBytes | undefined = new ReceivedBytes();
     req.on('data', (part: Buffer) => {
-      received?.add(part);
-      if (received === undefined || received.size <= limit) return;
-      received = undefined;
-      resolve('too-large');
+      if (!received || memory?.isClosed()) return;
+      received.add(part);
+      if (received.size > limit) {
+        received = undefined;
+        resolve('too-large');
+      } else if (memory && !memory.add(part.length) && !memory.isWaiting())
+        memory.whenRoom(readPacer.hold(req.socket));
     });
     req.on('end', () => {
       if (received) resolve(received.toBuffer());
@@ -56,13 +66,14 @@
   req: IncomingMessage,
   limit: number,
   maxMs: number,
+  memory?: MemoryHolder,
 ): Promise<Buffer | 'too-large' | 'too-late'> => {
   let timer: NodeJS.Timeout | undefined;
   const tooLate = new Promise<'too-late'>((resolve) => {
     timer = setTimeout(() => resolve('too-late'), maxMs);
   });
   try {
-    return await Promise.race([readBody(req, limit), tooLate]);
+    return await Promise.race([readBody(req, limit, memory), tooLate]);
   } finally {
     clearTimeout(timer);
   }
