Drop expired repeats as requests come, not at the first repeat

RetryBudget.deposit() dropped nothing, and unspent() took what had expired off the front of its list one by one, in quadratic time.

Expired repeats are now dropped when one is earned, all at once.

--- a/packages/steering/src/placement/retryBudget.ts
+++ b/packages/steering/src/placement/retryBudget.ts
@@ -77,6 +77,8 @@
     this.requests.add(now);
     const fraction = this.hasFewRequests(now) ? EARNED_FRACTION_AT_FEW_REQUESTS : EARNED_FRACTION;
     this.part += ratio * fraction;
+    // Without repeats, nothing else drops what has expired.
+    if (this.part >= 1) this.unspent(now);
     for (; this.part >= 1; this.part -= 1) this.earned.push(now);
   }
 
@@ -145,7 +147,8 @@
 
   private unspent(now: number): number[] {
     const since = now - this.bound.windowMs;
-    while (this.earned.length > 0 && this.earned[0] < since) this.earned.shift();
+    const kept = this.earned.findIndex((at) => at >= since);
+    this.earned.splice(0, kept < 0 ? this.earned.length : kept);
     return this.earned;
   }
 
