Move what a response shows to a file of its own

No change of logic: the checks of whether a response belongs to its request, is complete, and states that it was not run.

--- a/packages/gateway/src/requests/chooseRetry.ts
+++ b/packages/gateway/src/requests/chooseRetry.ts
@@ -1,5 +1,6 @@
 /** Decides whether a request is sent once more, and where. */
-import type { AttemptOutcome, NotRunReason } from '../targets/attempt';
+import type { AttemptOutcome } from '../targets/attempt';
+import type { NotRunReason } from '../targets/responseChecks';
 import type { Destination } from './destination';
 import { chooseDestination } from './destination';
 import type { RequestExecution } from './requestExecution';
--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -3,7 +3,7 @@
 import { breakOff, endsWithConnection, readPacer } from '@cardamomladder/http-json';
 import { closeAfter } from '../server/callerConnections';
 import type { AttemptOutcome } from '../targets/attempt';
-import { completenessCheck, isBodiless, isFramed } from '../targets/attempt';
+import { completenessCheck, isBodiless, isFramed } from '../targets/responseChecks';
 
 /** Headers that apply to a single connection and aren't forwarded (RFC 9110, 7.6.1). */
 const HOP_BY_HOP_HEADERS = new Set([
--- a/packages/gateway/src/requests/retryPolicy.ts
+++ b/packages/gateway/src/requests/retryPolicy.ts
@@ -8,7 +8,7 @@
 import type { PeakEstimate } from '@cardamomladder/steering';
 import { overdueAfterMs } from '@cardamomladder/steering';
 import type { AttemptOutcome } from '../targets/attempt';
-import { isFramed } from '../targets/attempt';
+import { isFramed } from '../targets/responseChecks';
 
 /** From this status on, a response is an error of the target, so the response of another target may be better. */
 export const FIRST_SERVER_ERROR = 500;
