Pass an answer on after a drain, whoever tells of it

Node.js takes its own listeners off such a connection, and the drain that refuseMalformed() passes on leaves writableNeedDrain set; the relay, which has asked for it since answers are held by the pacer, never let more arrive.

The relay now goes by what write() returns, and by the drain itself.

--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -70,7 +70,6 @@
   const { message, received } = remaining;
   const isComplete = completenessCheck(message, method);
   res.writeHead(response.status, headers);
-  response.chunks.forEach((chunk) => res.write(chunk));
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
     let release: (() => void) | undefined = remaining.release;
@@ -84,15 +83,18 @@
       resolve('cut');
     };
     let hasWaitedForCaller = false;
-    const writeReceived = () => received.take().forEach((block) => res.write(block));
-    /** Writes what has arrived; lets more arrive once the caller has taken it. */
-    const passOn = () => {
+    /** Writes blocks; returns false once the caller has to take what was written. */
+    const write = (blocks: readonly Buffer[]): boolean =>
+      blocks.reduce((_, block) => res.write(block), true);
+    /** Writes blocks; lets more arrive once the caller has taken them. */
+    const passOn = (blocks: readonly Buffer[]) => {
       if (res.writableEnded) return;
-      writeReceived();
-      if (res.writableNeedDrain && !message.readableEnded) {
-        hasWaitedForCaller = true;
-        release ??= readPacer.hold(message.socket);
-      } else letMoreArrive();
+      if (write(blocks) || message.readableEnded) {
+        letMoreArrive();
+        return;
+      }
+      hasWaitedForCaller = true;
+      release ??= readPacer.hold(message.socket);
     };
     const checkDelivery = () => {
       const isLengthKnown = response.head.headers['content-length'] !== undefined;
@@ -109,7 +111,7 @@
       // One write for all parts that arrive together.
       queueMicrotask(() => {
         isDue = false;
-        passOn();
+        if (received.size > 0) passOn(received.take());
       });
     });
     const finish = () => {
@@ -119,21 +121,21 @@
         abort();
         return;
       }
-      writeReceived();
+      write(received.take());
       res.end();
       resolve('complete');
     };
     message.on('end', finish);
     message.on('error', abort);
     message.on('aborted', abort);
-    res.on('drain', passOn);
+    res.on('drain', () => passOn(received.take()));
     res.on('close', () => {
       clearTimeout(timer);
       letMoreArrive();
       message.destroy();
       resolve('cut');
     });
-    passOn();
+    passOn([...response.chunks, ...received.take()]);
     // It may have ended before the outcome was known here.
     if (message.readableEnded) finish();
     else if (message.destroyed) abort();
