Log how the end of an answer without a length was read

Line `unframed`: targets tried, bytes, whether the connection still had a peer when its end was read, requests pending on the caller's connection. No decision changes.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -10,6 +10,7 @@
 /** The kinds of decision that are logged. */
 export type DecisionKind =
   | 'answered'
+  | 'unframed'
   | 'send'
   | 'target-crashed'
   | 'target-leaving'
@@ -43,6 +44,7 @@
 /** Maximum lines per second for each kind: rejections come by the hundred when targets are full, and writing a line costs about 20 us. */
 const LINES_PER_SECOND: Record<DecisionKind, number> = {
   answered: 1,
+  unframed: 20,
   send: 10,
   'target-crashed': 20,
   'target-leaving': 10,
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -7,7 +7,9 @@
 import { breakOff } from '@cardamomladder/http-json';
 import { describeTargets } from '@cardamomladder/steering';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
+import { pendingOn } from '../server/callerConnections';
 import type { AttemptOutcome } from '../targets/attempt';
+import { isFramed } from '../targets/responseChecks';
 import { sendGatewayResponse, relay } from './responses';
 import type { Refusal } from './firstSend';
 import type { CallerRequest } from './callerRequest';
@@ -110,6 +112,7 @@
   const { request, res, ctx } = execution;
   if (outcome.kind === 'answer') {
     execution.recordAnswer();
+    logUnframed(execution, outcome);
     const { deadlineAt, callerLeavesAt: deliveredBy } = request;
     const limits = { now: ctx.now, deadlineAt, deliveredBy };
     return (await relay(res, outcome, limits)) === 'complete' ? 'answered' : 'failed';
@@ -123,6 +126,25 @@
   return 'failed';
 };
 
+/** Logs how the end of a response without framing was read, and whether others wait behind it on the caller's connection. */
+const logUnframed = (
+  execution: RequestExecution,
+  { head, chunks, hadPeerAtEnd, remaining }: TargetResponse,
+): void => {
+  const { request, req, res, ctx, sends } = execution;
+  if (isFramed(head, request.method)) return;
+  ctx.log.write('unframed', request.id, () => ({
+    tried: [...execution.tried],
+    sends,
+    bytes: chunks.reduce((sum, { length }) => sum + length, 0),
+    isBuffered: remaining === undefined,
+    hadPeerAtEnd,
+    pending: pendingOn(req.socket),
+    connection: head.headers.connection,
+    sentHead: res.headersSent,
+  }));
+};
+
 const startSendTo = (execution: RequestExecution, destination: Destination): Send => {
   const { request, ctx } = execution;
   if (execution.sends === 0) execution.startWork();
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -13,7 +13,13 @@
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { TargetConnections } from './connections';
 import type { NotRunReason } from './responseChecks';
-import { completenessCheck, echoesRequestId, isGenuine, notRunReasonOf } from './responseChecks';
+import {
+  completenessCheck,
+  echoesRequestId,
+  isFramed,
+  isGenuine,
+  notRunReasonOf,
+} from './responseChecks';
 
 /** Connect timeout, ms: above the round trip between any two regions, well below callers' timeouts. */
 export const CONNECT_TIMEOUT_MS = 700;
@@ -73,6 +79,8 @@
       /** Undefined if `chunks` is the complete body. */
       remaining?: RemainingBody;
       load?: LoadReport;
+      /** For a response without framing: whether the connection still had a peer when its end was read. */
+      hadPeerAtEnd?: boolean;
     }
   | {
       kind: 'not-run';
@@ -183,6 +191,13 @@
     const status = response.statusCode ?? 0;
     const received = new ReceivedBytes();
     const isComplete = completenessCheck(response, options.method);
+    let hadPeerAtEnd: boolean | undefined;
+    if (!isFramed(response, options.method)) {
+      const { socket } = response;
+      socket.prependOnceListener('end', () => {
+        hadPeerAtEnd = socket.remoteAddress !== undefined;
+      });
+    }
     const releases: (() => void)[] = [];
     const holdConnection = (): (() => void) => {
       const release = readPacer.hold(response.socket);
@@ -220,7 +235,14 @@
       releases.forEach((release) => release());
       if (settled) return;
       if (isComplete())
-        finish({ kind: 'answer', status, head: response, chunks: received.take(), load });
+        finish({
+          kind: 'answer',
+          status,
+          head: response,
+          chunks: received.take(),
+          load,
+          hadPeerAtEnd,
+        });
       else finish({ kind: 'lost', reason: 'closed' });
     });
     response.on('error', () => finish({ kind: 'lost', reason: 'closed' }));
