--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -27,8 +27,7 @@
 };
 
 /** Number of requests of a connection whose response is not complete. */
-export const pendingOn = (socket: Socket): number =>
-  (socket as CallerSocket).unanswered?.size ?? 0;
+export const pendingOn = (socket: Socket): number => (socket as CallerSocket).unanswered?.size ?? 0;
 
 /** Lets the connection end with this response if no other request is pending on it; returns whether it does. */
 export const closeAfter = (res: ServerResponse): boolean => {
