Fault proxy: pass a reset behind data on as a reset

The proxy read both sides as Node.js does, which takes a reset that is there behind data for an end; the other side then got an orderly close. So tests and soaks behind it never saw a reset of an answer without a length.

--- a/packages/soak/src/__tests__/faultProxy.test.ts
+++ b/packages/soak/src/__tests__/faultProxy.test.ts
@@ -108,3 +108,28 @@
     expect(received).toBe('');
   });
 });
+
+describe('a reset behind data', () => {
+  it.each([0, 5])('is passed on as a reset, %i ms after the data', async (pauseMs) => {
+    // Guards against a proxy that turns a reset into an orderly end.
+    const RESETS = 50;
+    echo.removeAllListeners('connection');
+    echo.on('connection', (socket: Socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => {
+        socket.write('part');
+        setTimeout(() => socket.resetAndDestroy(), pauseMs);
+      });
+    });
+    const ends: string[] = [];
+    for (let i = 0; i < RESETS; i += 1) {
+      const socket = await connectThroughProxy();
+      socket.on('error', ({ code }: NodeJS.ErrnoException) => ends.push(String(code)));
+      socket.on('end', () => ends.push(socket.remoteAddress === undefined ? 'ECONNRESET' : 'end'));
+      socket.resume();
+      socket.write('request');
+      await closed(socket);
+    }
+    expect(ends).toEqual(Array.from({ length: RESETS }, () => 'ECONNRESET'));
+  });
+});
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -1,6 +1,7 @@
 /** A TCP proxy on loopback that injects network faults between two unmodified processes. */
 import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
+import { readPacer } from '@cardamomladder/http-json';
 
 /**
  * `delay`: every chunk is delayed. `silent`: no data is forwarded, new
@@ -37,6 +38,12 @@
   stalled: boolean;
 }
 
+/** Reads a connection so that a reset behind data is not taken for an end, and passed on as one. */
+const tellResetFromEnd = (socket: Socket): void => {
+  readPacer.pace(socket);
+  readPacer.readSeparately(socket);
+};
+
 /** Starts a proxy on a free loopback port. */
 export const startFaultProxy = async (): Promise<FaultProxy> => {
   let current: ProxyFault = 'none';
@@ -73,6 +80,8 @@
   };
   const openUpstream = (client: Socket, source: string): void => {
     const upstream = connect(upstreamAddress);
+    tellResetFromEnd(client);
+    tellResetFromEnd(upstream);
     const connection: ProxiedConnection = { source, client, upstream, stalled: false };
     connections.add(connection);
     client.on('data', (chunk: Buffer) => forward(connection, upstream, false, chunk));
