Take a reset for a reset behind an answer without a length

Callers got parts of answers that looked whole. Cause: where data and a reset are there when a connection is polled, libuv reports the data and then, as it reads on and the poll says hang-up, an end and no error. Node.js shows no difference, so completenessCheck() took the reset for the end of an answer that ends with its connection.

Such a connection is now read once in a turn of the event loop: the next read fails with ECONNRESET by itself, or returns the end that the target sent.

--- a/packages/gateway/src/peers/client.ts
+++ b/packages/gateway/src/peers/client.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import type { Transfer, TransferLimits } from '@cardamomladder/http-json';
-import { PacedAgent, ReceivedBytes, limitTransfer } from '@cardamomladder/http-json';
+import { PacedAgent, ReceivedBytes, detectReset, limitTransfer } from '@cardamomladder/http-json';
 import { splitAddress } from '@cardamomladder/types';
 import type { PeerRouter } from './router';
 
@@ -63,6 +63,7 @@
   const req = httpRequest({ ...splitAddress(address), path, method, agent }, (res) =>
     readResponse(res, onResponse, onError),
   );
+  detectReset(req);
   limitTransfer(req, limits, (reason) => req.destroy(reason), onReceived);
   req.on('error', onError);
   req.end(body);
--- a/packages/gateway/src/requests/retryPolicy.ts
+++ b/packages/gateway/src/requests/retryPolicy.ts
@@ -3,12 +3,12 @@
  * At-most-once execution is enforced here: a non-idempotent request is retried
  * only if the previous send is known not to have run.
  */
+import { isFramed } from '@cardamomladder/http-json';
 import type { RequestKind } from '@cardamomladder/routing';
 import { isIdempotent } from '@cardamomladder/routing';
 import type { PeakEstimate } from '@cardamomladder/steering';
 import { overdueAfterMs } from '@cardamomladder/steering';
 import type { AttemptOutcome } from '../targets/attempt';
-import { isFramed } from '../targets/responseChecks';
 
 /** From this status on, a response is an error of the target, so the response of another target may be better. */
 export const FIRST_SERVER_ERROR = 500;
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -4,12 +4,11 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Span } from '@opentelemetry/api';
-import { breakOff } from '@cardamomladder/http-json';
+import { breakOff, isFramed } from '@cardamomladder/http-json';
 import { describeTargets } from '@cardamomladder/steering';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import { pendingOn } from '../server/callerConnections';
 import type { AttemptOutcome } from '../targets/attempt';
-import { isFramed } from '../targets/responseChecks';
 import { sendGatewayResponse, relay } from './responses';
 import type { Refusal } from './firstSend';
 import type { CallerRequest } from './callerRequest';
@@ -102,6 +101,22 @@
   return reject(execution, { reason, retryAfterMs });
 };
 
+/** Logs a response without framing, whose end was that of its connection. */
+const logUnframed = (
+  execution: RequestExecution,
+  { head, chunks, remaining }: TargetResponse,
+): void => {
+  const { request, req, ctx, sends } = execution;
+  if (isFramed(head, request.method)) return;
+  ctx.log.write('unframed', request.id, () => ({
+    tried: [...execution.tried],
+    sends,
+    bytes: chunks.reduce((sum, { length }) => sum + length, 0),
+    isBuffered: remaining === undefined,
+    pending: pendingOn(req.socket),
+  }));
+};
+
 /** Returns the final response after the last send. */
 const finish = async (
   execution: RequestExecution,
@@ -126,25 +141,6 @@
   return 'failed';
 };
 
-/** Logs how the end of a response without framing was read, and whether others wait behind it on the caller's connection. */
-const logUnframed = (
-  execution: RequestExecution,
-  { head, chunks, hadPeerAtEnd, remaining }: TargetResponse,
-): void => {
-  const { request, req, res, ctx, sends } = execution;
-  if (isFramed(head, request.method)) return;
-  ctx.log.write('unframed', request.id, () => ({
-    tried: [...execution.tried],
-    sends,
-    bytes: chunks.reduce((sum, { length }) => sum + length, 0),
-    isBuffered: remaining === undefined,
-    hadPeerAtEnd,
-    pending: pendingOn(req.socket),
-    connection: head.headers.connection,
-    sentHead: res.headersSent,
-  }));
-};
-
 const startSendTo = (execution: RequestExecution, destination: Destination): Send => {
   const { request, ctx } = execution;
   if (execution.sends === 0) execution.startWork();
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -8,18 +8,12 @@
 import { request as httpRequest } from 'node:http';
 import { Result } from 'neverthrow';
 import type { MemoryHolder } from '@cardamomladder/http-json';
-import { ReceivedBytes, discardRest, readPacer } from '@cardamomladder/http-json';
+import { ReceivedBytes, detectReset, discardRest, readPacer } from '@cardamomladder/http-json';
 import type { LoadReport, TargetStatement, WireProtocol } from '../wireProtocol';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { TargetConnections } from './connections';
 import type { NotRunReason } from './responseChecks';
-import {
-  completenessCheck,
-  echoesRequestId,
-  isFramed,
-  isGenuine,
-  notRunReasonOf,
-} from './responseChecks';
+import { echoesRequestId, isGenuine, notRunReasonOf } from './responseChecks';
 
 /** Connect timeout, ms: above the round trip between any two regions, well below callers' timeouts. */
 export const CONNECT_TIMEOUT_MS = 700;
@@ -79,8 +73,6 @@
       /** Undefined if `chunks` is the complete body. */
       remaining?: RemainingBody;
       load?: LoadReport;
-      /** For a response without framing: whether the connection still had a peer when its end was read. */
-      hadPeerAtEnd?: boolean;
     }
   | {
       kind: 'not-run';
@@ -190,14 +182,6 @@
     options.onStatement(statement, 'run');
     const status = response.statusCode ?? 0;
     const received = new ReceivedBytes();
-    const isComplete = completenessCheck(response, options.method);
-    let hadPeerAtEnd: boolean | undefined;
-    if (!isFramed(response, options.method)) {
-      const { socket } = response;
-      socket.prependOnceListener('end', () => {
-        hadPeerAtEnd = socket.remoteAddress !== undefined;
-      });
-    }
     const releases: (() => void)[] = [];
     const holdConnection = (): (() => void) => {
       const release = readPacer.hold(response.socket);
@@ -234,21 +218,15 @@
       // The next request may already have the connection.
       releases.forEach((release) => release());
       if (settled) return;
-      if (isComplete())
-        finish({
-          kind: 'answer',
-          status,
-          head: response,
-          chunks: received.take(),
-          load,
-          hadPeerAtEnd,
-        });
+      if (response.complete)
+        finish({ kind: 'answer', status, head: response, chunks: received.take(), load });
       else finish({ kind: 'lost', reason: 'closed' });
     });
     response.on('error', () => finish({ kind: 'lost', reason: 'closed' }));
     response.on('aborted', () => finish({ kind: 'lost', reason: 'closed' }));
   };
 
+  detectReset(request);
   const startedAt = performance.now();
   const write = (): void => {
     if (settled) return;
--- a/packages/gateway/src/targets/responseChecks.ts
+++ b/packages/gateway/src/targets/responseChecks.ts
@@ -1,4 +1,4 @@
-/** What the response to a request shows: whether it belongs to it, whether it is complete, and whether the request ran. */
+/** What the response to a request shows: whether it belongs to it, and whether the request ran. */
 import type { IncomingMessage } from 'node:http';
 import { CUT_OFF_HEADER } from '../reach/forwardedRequest';
 import type { HeaderNames } from '../wireProtocol';
@@ -30,29 +30,6 @@
   return !success || response.headers[names.signature] !== undefined;
 };
 
-/** Statuses of responses that end with their head. */
-const BODILESS_STATUSES = new Set([204, 304]);
-
-/** True if a response to a request of `method` ends with its head. */
-export const isBodiless = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
-  method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
-
-/** True if the end of the response to a request of `method` is known without that of its connection. */
-export const isFramed = (response: IncomingMessage, method: string): boolean =>
-  response.headers['content-length'] !== undefined ||
-  response.headers['transfer-encoding'] !== undefined ||
-  isBodiless(response, method);
-
-/**
- * Returns a function that tells, after a response has ended, whether it is
- * complete. Node reports a response without framing as complete even if the
- * connection was reset; so the end of the connection is checked too.
- */
-export const completenessCheck = (response: IncomingMessage, method: string): (() => boolean) => {
-  const { socket } = response;
-  return () => response.complete && (isFramed(response, method) || socket.readableEnded);
-};
-
 /** The reason if the response states that the request did not run, and doesn't name another request. */
 export const notRunReasonOf = (
   response: IncomingMessage,
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -6,6 +6,7 @@
 export { PacedAgent } from './pacedAgent';
 export { ReadPacer, paceConnections, readPacer } from './readPacer';
 export { ReceivedBytes } from './receivedBytes';
+export { detectReset, isBodiless, isFramed } from './responseFraming';
 export { BodyError, MAX_JSON_BYTES, readBody, readBodyInTime, readJson, sendJson } from './server';
 export type { Transfer, TransferLimits } from './transferLimits';
 export { TransferTooLong, limitTransfer, whileProgressing, withinMs } from './transferLimits';
--- a/packages/http-json/src/readPacer.ts
+++ b/packages/http-json/src/readPacer.ts
@@ -45,6 +45,9 @@
 
   private partBytes = FIRST_PART_BYTES;
 
+  /** True if each read waits for another turn of the event loop than the one before it. */
+  isReadSeparately = false;
+
   constructor(
     private readonly socket: Socket,
     /** Hands data to the listeners of the socket. */
@@ -149,6 +152,7 @@
       _read: (bytes: number) => {
         connection.want();
         if (connection.hasRest) this.enqueue(connection);
+        else if (connection.isReadSeparately) this.options.nextTurn(() => readMore(bytes));
         else readMore(bytes);
       },
     });
@@ -163,6 +167,16 @@
     return this.paced.get(socket)?.hasRest ?? false;
   }
 
+  /**
+   * Reads a connection once in a turn of the event loop from now on. While it reads on,
+   * Node.js takes a reset that is there behind the data for the end of the connection;
+   * the next read by itself fails with it.
+   */
+  readSeparately(socket: Socket): void {
+    const connection = this.paced.get(socket);
+    if (connection) connection.isReadSeparately = true;
+  }
+
   /** Parses nothing of a connection until the function that is returned has been called. */
   hold(socket: Socket): () => void {
     const connection = this.paced.get(socket);
@@ -184,7 +198,7 @@
     connection.add(data);
     if (isFirst && connection.isReady && this.spentMs < TURN_MS) this.parsePart(connection);
     this.enqueue(connection);
-    return connection.readsOn;
+    return connection.readsOn && !connection.isReadSeparately;
   }
 
   private enqueue(connection: PacedConnection): void {
