Give callers answers with an end of their own

An answer without a length went to its caller as it was, and ended the caller's connection, unless other requests were pending there; then it got a length of what had arrived. So an answer's framing said nothing of whether it was whole, and callers, Node.js clients among them, had to tell a reset from an end themselves.

--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -47,7 +47,11 @@
   deliveredBy: number;
 }
 
-/** Relays a target's response; if it is truncated, or not complete in time, the caller's connection is aborted too. */
+/**
+ * Relays a target's response, with a length or in chunks also if it has neither, so that
+ * no caller takes a part for the whole. If it is truncated, or not complete in time, the
+ * caller's connection is aborted too.
+ */
 export const relay = (
   res: ServerResponse,
   response: Extract<AttemptOutcome, { kind: 'answer' }>,
@@ -56,24 +60,18 @@
   const headers = forwardedHeaders(response.head);
   const { remaining } = response;
   const { method = 'GET' } = res.req;
-  const endsConnection = !isFramed(response.head, method) && closeAfter(res);
-  if (endsConnection) {
-    // Without framing a truncated response can't be detected, so no length or
-    // final chunk may be added that would mark it as complete.
-    res.useChunkedEncodingByDefault = false;
-    res.removeHeader('transfer-encoding');
-    endsWithConnection(res);
-  }
+  if (!isFramed(response.head, method)) closeAfter(res);
   if (!remaining) {
     const body = Buffer.concat(response.chunks);
-    if (!endsConnection && !isBodiless(response.head, method))
-      headers['content-length'] ??= body.length;
+    if (!isBodiless(response.head, method)) headers['content-length'] ??= body.length;
     res.writeHead(response.status, headers);
     res.end(body);
     return Promise.resolve('complete');
   }
   const { message, received } = remaining;
   res.writeHead(response.status, headers);
+  // Callers with HTTP/1.0 don't know chunks.
+  if (!res.chunkedEncoding && headers['content-length'] === undefined) endsWithConnection(res);
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
     let release: (() => void) | undefined = remaining.release;
