--- a/packages/gateway/src/targets/__tests__/connections.test.ts
+++ b/packages/gateway/src/targets/__tests__/connections.test.ts
@@ -14,6 +14,8 @@
 let accepted: number;
 /** Number of requests per connection before the next one is reset. */
 let requestsPerConnection: number;
+/** True if responses have no length and are reset behind a part. */
+let breaksOff: boolean;
 /** What a connection gets in response to each request. */
 let answer: string;
 let now: number;
@@ -26,7 +28,10 @@
   socket.on('error', () => {});
   socket.on('data', () => {
     served += 1;
-    if (served <= requestsPerConnection) socket.write(answer);
+    if (breaksOff) {
+      socket.write('HTTP/1.1 200 OK\r\nx-id: r\r\nx-sig: s\r\n\r\npart');
+      socket.resetAndDestroy();
+    } else if (served <= requestsPerConnection) socket.write(answer);
     else socket.resetAndDestroy();
   });
 };
@@ -41,6 +46,7 @@
 beforeEach(async () => {
   accepted = 0;
   answer = ANSWER;
+  breaksOff = false;
   requestsPerConnection = Infinity;
   now = 0;
   server = createServer(serveConnection);
@@ -85,6 +91,15 @@
     expect(idleLimit.current(now)).toBe(8500);
   });
 
+  it('keep their idle limit if a response is reset behind a part of it', async () => {
+    // Guards against a target that breaks off responses and is taken for one that drops idle connections.
+    await send();
+    now += 3000;
+    breaksOff = true;
+    expect(await send()).toBe('closed');
+    expect(idleLimit.current(now)).toBe(8500);
+  });
+
   it('keep their idle limit if the caller disconnects', async () => {
     await send();
     now += 3000;
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -262,7 +262,9 @@
     interimResponses += 1;
     if (interimResponses > MAX_INTERIM_RESPONSES) finish({ kind: 'lost', reason: 'garbled' });
   });
+  let hasResponse = false;
   request.on('response', (response) => {
+    hasResponse = true;
     try {
       handleResponse(response);
     } catch {
@@ -271,7 +273,7 @@
     }
   });
   request.on('error', () => {
-    if (!settled) options.connections.recordUnansweredClose(request);
+    if (!settled && !hasResponse) options.connections.recordUnansweredClose(request);
     finish({ kind: 'lost', reason: 'closed' });
   });
   request.on('close', () => finish({ kind: 'lost', reason: 'closed' }));
