Take a reset for a reset also behind a transfer coding that is not read as chunks

Whatever states no plain length is now read separately; only spaces and tabs stand before the last coding (\s matches more).

--- a/packages/http-json/src/responseFraming.ts
+++ b/packages/http-json/src/responseFraming.ts
@@ -5,12 +5,18 @@
 /** Statuses of responses that end with their head. */
 const BODILESS_STATUSES = new Set([204, 304]);
 /** The transfer coding that has an end of its own, as the last one. */
-const CHUNKED_LAST = /(?:^|,)\s*chunked\s*$/i;
+const CHUNKED_LAST = /(?:^|,)[ \t]*chunked$/i;
 
 /** True if a response to a request of `method` ends with its head. */
 export const isBodiless = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
   method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
 
+/** True if the end of the response is known as soon as its head is. */
+const statesEnd = (response: IncomingMessage, method: string): boolean =>
+  isBodiless(response, method) ||
+  (response.headers['content-length'] !== undefined &&
+    response.headers['transfer-encoding'] === undefined);
+
 /** True if the end of the response to a request of `method` is known without that of its connection. */
 export const isFramed = (response: IncomingMessage, method: string): boolean => {
   if (isBodiless(response, method)) return true;
@@ -27,7 +33,8 @@
  */
 export const detectReset = (request: ClientRequest): void => {
   request.prependListener('response', (response: IncomingMessage) => {
-    if (isFramed(response, request.method)) return;
+    // The parser and the headers may differ on whether a transfer coding is chunked.
+    if (statesEnd(response, request.method)) return;
     readPacer.readSeparately(response.socket);
     // Node.js reports the reset for the request only, and then ends the response as a complete one.
     request.on('error', (error) => response.destroy(error));
