Report a reset behind an answer without a length to its reader too

With detectReset() the read fails with ECONNRESET, but Node.js reports that as an error of the request only; then it finishes its parser, which ends an answer without a length: the response emits `end`, with `complete` set and no error. Whoever listens to the response alone, as one does that passes a body on while it arrives, took the part for a whole answer. detectReset() now destroys the response with the error of the request, before its end is emitted. Its listener on the request comes behind those of the client, so that what these see and in which order stays as it was.

responseFraming.test.ts: its three cases of resets now also ask a client that listens to the response alone.

--- a/packages/http-json/src/__tests__/responseFraming.test.ts
+++ b/packages/http-json/src/__tests__/responseFraming.test.ts
@@ -34,8 +34,14 @@
 /** How a response ends at its client. */
 type ResponseEnd = 'complete' | 'incomplete' | 'failed';
 
-/** Requests that are answered by `answer`, one after the other; returns how the responses end. */
-const endsOf = async (answer: (socket: Socket) => void): Promise<ResponseEnd[]> => {
+/**
+ * Requests that are answered by `answer`, one after the other; returns how the responses
+ * end, by default for a client that hears of errors of the request too.
+ */
+const endsOf = async (
+  answer: (socket: Socket) => void,
+  hearsOfRequest = true,
+): Promise<ResponseEnd[]> => {
   const server = createServer((socket) => {
     socket.on('error', () => {});
     socket.once('data', () => answer(socket));
@@ -57,7 +63,9 @@
         response.on('end', () => resolve(response.complete ? 'complete' : 'incomplete'));
       });
       detectReset(request);
-      request.on('error', () => resolve('failed'));
+      request.on('error', () => {
+        if (hearsOfRequest) resolve('failed');
+      });
       request.end();
     });
   const ends: ResponseEnd[] = [];
@@ -94,6 +102,8 @@
   ])('is not complete if it is reset behind a part (%s)', async (_, answer) => {
     // Guards against a reset that passes for the end of a response.
     expect(await endsOf(answer)).not.toContain('complete');
+    // Guards against a reset that is reported for the request only, while the response ends.
+    expect(new Set(await endsOf(answer, false))).toEqual(new Set(['failed']));
   });
 
   it.each<[string, (socket: Socket) => void]>([
--- a/packages/http-json/src/responseFraming.ts
+++ b/packages/http-json/src/responseFraming.ts
@@ -27,6 +27,9 @@
  */
 export const detectReset = (request: ClientRequest): void => {
   request.prependListener('response', (response: IncomingMessage) => {
-    if (!isFramed(response, request.method)) readPacer.readSeparately(response.socket);
+    if (isFramed(response, request.method)) return;
+    readPacer.readSeparately(response.socket);
+    // Node.js reports the reset for the request only, and then ends the response as a complete one.
+    request.on('error', (error) => response.destroy(error));
   });
 };
