--- a/packages/targets/src/client/forward.ts
+++ b/packages/targets/src/client/forward.ts
@@ -8,8 +8,9 @@
  * - `unknown`: the target may or may not have processed the request; it may
  *   have arrived, but no response did (reset, timeout, unresponsive connection).
  */
-import type { Agent, IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { request } from 'node:http';
+import { PacedAgent, detectReset } from '@cardamomladder/http-json';
 import type { NotRunReason } from '../protocol';
 import { DEADLINE_HEADER, LOAD_HEADER, NOT_RUN_HEADER } from '../protocol';
 
@@ -28,7 +29,7 @@
   /** Timeout for the TCP connection, in ms; if it expires, nothing was sent. */
   connectTimeoutMs: number;
   /** A pooled keep-alive agent, or `false` for a new connection. */
-  agent: Agent | false;
+  agent: PacedAgent | false;
   /** Aborted when the caller disconnects; this also cancels the request at the target. */
   signal: AbortSignal;
 }
@@ -69,13 +70,14 @@
       port: Number(port),
       method: attempt.method,
       path: attempt.path,
-      agent: attempt.agent,
+      agent: attempt.agent || new PacedAgent(),
       headers: {
         ...attempt.headers,
         [DEADLINE_HEADER]: String(remaining),
         'content-length': attempt.body.length,
       },
     });
+    detectReset(req);
     const onAbort = () => {
       req.destroy(new Error('caller went away'));
     };
