Callers' client: count a reset behind a response without a length as an error

An entry gives its responses a length or chunks, so that this takes another server or a proxy between.

--- a/packages/callers/src/client.ts
+++ b/packages/callers/src/client.ts
@@ -3,7 +3,8 @@
  * known one and sends requests to them over Node http with keep-alive. The
  * load generator runs many callers.
  */
-import { Agent, request } from 'node:http';
+import { request } from 'node:http';
+import { PacedAgent, detectReset } from '@cardamomladder/http-json';
 import type { EntriesReply, EntryAddress, Outcome } from './protocol';
 import { IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER } from './protocol';
 
@@ -34,7 +35,7 @@
 
 /** A caller that sends each request to a random one of its entry instances. */
 export class Caller {
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: 64 });
+  private readonly agent = new PacedAgent({ keepAlive: true, maxSockets: 64 });
 
   constructor(
     private entries: EntryAddress[],
@@ -93,6 +94,7 @@
           );
         },
       );
+      detectReset(req);
       req.on('error', () =>
         resolve({
           status: 0,
