--- a/packages/entry/src/server/__tests__/relayResponse.test.ts
+++ b/packages/entry/src/server/__tests__/relayResponse.test.ts
@@ -62,6 +62,10 @@
     const key = requestKey(`visit-${keys.length}`);
     keys.push(key);
     dedup.claim(key);
+    const abortController = new AbortController();
+    res.on('close', () => {
+      if (!res.writableFinished) abortController.abort();
+    });
     const result = await sendAttempt({
       address,
       method: 'POST',
@@ -72,7 +76,7 @@
       attemptTimeoutMs: ATTEMPT_MS,
       connectTimeoutMs: ATTEMPT_MS,
       agent: isPooled ? agentFor(address) : false,
-      signal: new AbortController().signal,
+      signal: abortController.signal,
     });
     if (result.kind === 'answer')
       await relayResponse(res, result, { id: 't' } as TargetView, 1, key, dedup);
@@ -123,3 +127,32 @@
     });
   });
 });
+
+describe('a relayed response without a length to a caller of HTTP/1.0', () => {
+  it.each(BROKEN_OFF)('ends with a reset if it is reset behind %s', async (_, sent) => {
+    // Guards against an orderly end behind a part, which makes it look whole.
+    const { port } = await startRelay((socket) => {
+      socket.write(sent);
+      socket.resetAndDestroy();
+    }, false);
+    const received = await receiveAll(port, '1.0');
+    expect(received.filter(({ text, wasReset }) => text !== '' && !wasReset)).toEqual([]);
+  });
+
+  it('ends with a reset if its target is late with the rest', async () => {
+    // Guards against an orderly end of the connection of a caller that has a part already.
+    const { port } = await startRelay((socket) => {
+      socket.write(BROKEN_OFF[0][1]);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    }, false);
+    const received = await receiveAll(port, '1.0');
+    expect(received.filter(({ text, wasReset }) => text !== '' && !wasReset)).toEqual([]);
+  });
+
+  it('ends in order if it is whole', async () => {
+    // Guards against a reset that takes a whole response back.
+    const { port } = await startRelay((socket) => socket.end(`${HEAD}${BODY}`), false);
+    const received = await receiveAll(port, '1.0');
+    expect(received.filter(({ text, wasReset }) => wasReset || !text.endsWith(BODY))).toEqual([]);
+  });
+});
--- a/packages/entry/src/server/relayResponse.ts
+++ b/packages/entry/src/server/relayResponse.ts
@@ -1,6 +1,7 @@
 /** Relays a target's response to the caller. */
 import type { ServerResponse } from 'node:http';
 import { ATTEMPTS_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER } from '@cardamomladder/callers';
+import { breakOff, endsWithConnection } from '@cardamomladder/http-json';
 import type { TargetView } from '@cardamomladder/steering';
 import type { AttemptResult } from '@cardamomladder/targets';
 import type { RequestKey } from '@cardamomladder/types';
@@ -9,7 +10,7 @@
 
 /**
  * Streams the target's response to the caller and stores it for replay. If the
- * target fails partway, the caller's connection is closed.
+ * target fails partway, the caller's connection is broken off.
  */
 export const relayResponse = (
   res: ServerResponse,
@@ -29,6 +30,9 @@
       [SERVED_BY_HEADER]: target.id,
       [ATTEMPTS_HEADER]: String(attempts),
     };
+    // A caller of HTTP/1.0 gets no chunks, so that only the end of its connection tells it the end.
+    if (!result.headers['content-length'] && !res.useChunkedEncodingByDefault)
+      endsWithConnection(res);
     res.writeHead(result.status, headers);
     const chunks: Buffer[] = [];
     result.body.on('data', (chunk: Buffer) => {
@@ -49,15 +53,16 @@
       resolve();
     });
     // The target's connection failed during the response. Ending the response
-    // normally would make a truncated body look complete; destroying the
-    // connection lets the caller detect it (the length does not match).
+    // normally would make a truncated body look complete; breaking it off lets
+    // the caller detect it (the length does not match, the last chunk is missing,
+    // or the connection is reset).
     result.body.on('error', () => {
       if (key) dedup.markUnknown(key);
-      res.destroy();
+      breakOff(res);
       resolve();
     });
     result.body.on('aborted', () => {
-      res.destroy();
+      breakOff(res);
       resolve();
     });
   });
