--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -6,11 +6,12 @@
  * new requests as "not run" with `connection: close`, and waits up to
  * `drainGraceMs` for the requests in flight.
  */
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { EntryAddress } from '@cardamomladder/callers';
 import type { Document } from '@cardamomladder/document';
+import { breakOff } from '@cardamomladder/http-json';
 import { createMemberClient } from '@cardamomladder/member-list';
 import { createKvClient } from '@cardamomladder/platform-kv';
 import type { EntrySettings } from '@cardamomladder/settings';
@@ -61,6 +62,7 @@
   const members = createMemberClient(settings.platform.url, onCall);
   const fleet = new Fleet();
   const inflight = new Set<Promise<unknown>>();
+  const openResponses = new Set<ServerResponse>();
   let stopping = false;
   const random = options.random ?? Math.random;
 
@@ -122,7 +124,9 @@
 
   const dedup = new DedupCache();
   const budget = new RetryBudget();
-  server.on('request', (req, res) =>
+  server.on('request', (req, res) => {
+    openResponses.add(res);
+    res.once('close', () => openResponses.delete(res));
     route(req, res, {
       fleet,
       metrics,
@@ -137,8 +141,8 @@
         inflight.add(done);
         done.finally(() => inflight.delete(done)).catch(() => {});
       },
-    }),
-  );
+    });
+  });
   log.info('entry listening', { id: settings.id, address, failureDomain: settings.failureDomain });
 
   const ready = () =>
@@ -162,6 +166,8 @@
         setTimeout(resolve, settings.drainGraceMs).unref();
       }),
     ]);
+    // A part of a response that ends with its connection would look whole after an orderly close.
+    openResponses.forEach(breakOff);
     server.closeAllConnections();
     clearInterval(membersTimer);
     clearInterval(tickTimer);
