Fault proxy: end no connection in order behind bytes it still holds

Cause: as one side closed, the proxy destroyed the other at once, although bytes to it could wait: delayed, deferred by a fault, or beyond what the socket had taken. The receiver saw an orderly end behind a part, so that a whole answer without a length became a part that no one can tell from a whole one.

It now ends the connection once the bytes are out, and resets it if they never go out. Bytes behind a delayed chunk no longer overtake it when the delay ends.

faultProxy.test.ts has four tests more: an end behind 3 MB, read at once and late, behind a delay that ends meanwhile, and behind bytes that never arrive.

--- a/packages/soak/src/__tests__/faultProxy.test.ts
+++ b/packages/soak/src/__tests__/faultProxy.test.ts
@@ -133,3 +133,55 @@
     expect(ends).toEqual(Array.from({ length: RESETS }, () => 'ECONNRESET'));
   });
 });
+
+describe('an orderly end behind data', () => {
+  const LARGE_BYTES = 3_000_000;
+  /** Sends a body and ends its connection, and returns how much of it arrives and how it ends. */
+  const receive = async (bytes: number, whileHeld: () => Promise<void>, readLateMs = 0) => {
+    echo.removeAllListeners('connection');
+    echo.on('connection', (socket: Socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => socket.end(Buffer.alloc(bytes, 'x')));
+    });
+    const socket = await connectThroughProxy();
+    let size = 0;
+    let end = 'end';
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      end = String(code);
+    });
+    socket.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (readLateMs === 0) return;
+      socket.pause();
+      setTimeout(() => socket.resume(), readLateMs);
+    });
+    socket.write('request');
+    await whileHeld();
+    await closed(socket);
+    return { size, end };
+  };
+
+  it.each([0, 2])('waits for all of the data, read %i ms late', async (readLateMs) => {
+    // Guards against a proxy that makes a part look whole.
+    const received3MB = await receive(LARGE_BYTES, async () => {}, readLateMs);
+    expect(received3MB).toEqual({ size: LARGE_BYTES, end: 'end' });
+  });
+
+  it('comes after data that is delayed, also if the delay ends meanwhile', async () => {
+    proxy.setFault('delay');
+    const whileHeld = async () => {
+      await sleep(150);
+      proxy.setFault('none');
+    };
+    expect(await receive(LARGE_BYTES, whileHeld)).toEqual({ size: LARGE_BYTES, end: 'end' });
+  });
+
+  it('is a reset if the data never arrives', async () => {
+    const whileHeld = async () => {
+      await sleep(WAIT_MS);
+      proxy.setFault('none');
+    };
+    proxy.setFault('one-way');
+    expect(await receive(9, whileHeld)).toEqual({ size: 0, end: 'ECONNRESET' });
+  });
+});
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -36,6 +36,8 @@
   upstream: Socket;
   /** True if no data is forwarded any more. */
   stalled: boolean;
+  /** Number of chunks to each side that a fault holds back. */
+  held: Map<Socket, number>;
 }
 
 /** Reads a connection so that a reset behind data is not taken for an end, and passed on as one. */
@@ -67,29 +69,49 @@
     toClient: boolean,
     chunk: Buffer,
   ): void => {
+    const { source, held } = connection;
+    const heldBefore = held.get(to) ?? 0;
     const write = () => {
       if (!to.destroyed) to.write(chunk);
     };
-    const { source } = connection;
+    const hold = () => {
+      held.set(to, heldBefore + 1);
+      return () => {
+        held.set(to, (held.get(to) ?? 0) - 1);
+        write();
+      };
+    };
     const fault = faultOf(source);
     if (connection.stalled) return;
     if (fault === 'silent' || (fault === 'one-way' && toClient))
-      deferred.push({ source, carryOut: write });
-    else if (fault === 'delay') setTimeout(write, DELAY_MS);
+      deferred.push({ source, carryOut: hold() });
+    else if (fault === 'delay' || heldBefore > 0) setTimeout(hold(), DELAY_MS);
     else write();
   };
   const openUpstream = (client: Socket, source: string): void => {
     const upstream = connect(upstreamAddress);
     tellResetFromEnd(client);
     tellResetFromEnd(upstream);
-    const connection: ProxiedConnection = { source, client, upstream, stalled: false };
+    const connection: ProxiedConnection = {
+      source,
+      client,
+      upstream,
+      stalled: false,
+      held: new Map(),
+    };
     connections.add(connection);
     client.on('data', (chunk: Buffer) => forward(connection, upstream, false, chunk));
     upstream.on('data', (chunk: Buffer) => forward(connection, client, true, chunk));
     const closeOther = (peer: Socket) => () => {
       connections.delete(connection);
-      if (!connection.stalled)
-        setTimeout(() => peer.destroy(), faultOf(source) === 'delay' ? DELAY_MS : 0);
+      if (connection.stalled) return;
+      const isHeld = () => (connection.held.get(peer) ?? 0) > 0;
+      // An orderly end behind a part would make the part look whole.
+      const endPeer = () => {
+        if (isHeld()) peer.resetAndDestroy();
+        else peer.destroySoon();
+      };
+      setTimeout(endPeer, faultOf(source) === 'delay' || isHeld() ? DELAY_MS : 0);
     };
     client.on('error', () => upstream.resetAndDestroy());
     upstream.on('error', () => client.resetAndDestroy());
