--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -10,6 +10,7 @@
   PARTITION_KINDS,
   SLOW_TARGET_KINDS,
   SMALL_CHUNK_KINDS,
+  UNFRAMED_KINDS,
   WRITING_AHEAD_KINDS,
   planFaults,
   planLeavingCallers,
@@ -17,6 +18,7 @@
   planPartitions,
   planSlowTargets,
   planSmallChunks,
+  planUnframedAnswers,
   planWritingAhead,
 } from './plan';
 export type {
@@ -30,6 +32,7 @@
 export { TargetSignalChecker } from './targetSignals';
 export type { EndlessConnection } from './leavingCallers';
 export { LeavingCallerChecker } from './leavingCallers';
+export { UnframedAnswerChecker } from './unframedAnswers';
 export { WholeAnswerChecker } from './wholeAnswers';
 export { FaultHistory } from './faultHistory';
 export { PartitionChecker } from './partitions';
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -70,6 +70,9 @@
   'callers-upload-in-small-chunks',
 ] as const;
 
+/** Answers without a length, some of them broken off, to callers that check every byte. */
+export const UNFRAMED_KINDS = ['targets-answer-without-length'] as const;
+
 export interface PlannedFault {
   kind: (
     | typeof FAULT_KINDS
@@ -79,6 +82,7 @@
     | typeof LEAVING_KINDS
     | typeof WRITING_AHEAD_KINDS
     | typeof SMALL_CHUNK_KINDS
+    | typeof UNFRAMED_KINDS
   )[number];
   atMs: number;
   forMs: number;
@@ -219,18 +223,28 @@
   return [...callers, ...(hasSeries ? [series] : [])].sort((a, b) => a.atMs - b.atMs);
 };
 
-/** Separates the small chunks of a seed from its other faults, whose plan stays as it is. */
-const SMALL_CHUNK_SEED_OFFSET = 5_000_011;
-const MIN_SMALL_CHUNKS = 3;
-const MAX_SMALL_CHUNKS = 6;
+type Range = readonly [min: number, max: number];
+
+/** Draws faults; `seedOffset` separates them from a seed's others, whose plan stays as it is. */
+const planDrawn =
+  (kinds: readonly PlannedFault['kind'][], seedOffset: number, counts: Range, forMsRange: Range) =>
+  (seed: number, totalMs: number): PlannedFault[] => {
+    const random = seededRandom(Math.imul(seed + seedOffset, SEED_MULTIPLIER));
+    const [min, max] = counts;
+    const [minMs, maxMs] = forMsRange;
+    const count = min + Math.floor(random() * (max - min + 1));
+    return Array.from({ length: count }, (): PlannedFault => {
+      const kind = kinds[Math.floor(random() * kinds.length)];
+      const forMs = minMs + random() * (maxMs - minMs);
+      return { kind, atMs: random() * (totalMs - forMs), forMs, which: random() };
+    }).sort((a, b) => a.atMs - b.atMs);
+  };
+
+const SMALL_CHUNK_MS: Range = [MIN_DURATION_MS, MAX_DURATION_MS];
+const UNFRAMED_MS: Range = [MIN_PARTITION_MS, MAX_PARTITION_MS];
 
 /** Returns the times of a seed at which bodies come in small chunks; they may overlap. */
-export const planSmallChunks = (seed: number, totalMs: number): PlannedFault[] => {
-  const random = seededRandom(Math.imul(seed + SMALL_CHUNK_SEED_OFFSET, SEED_MULTIPLIER));
-  const count = MIN_SMALL_CHUNKS + Math.floor(random() * (MAX_SMALL_CHUNKS - MIN_SMALL_CHUNKS + 1));
-  return Array.from({ length: count }, (): PlannedFault => {
-    const kind = SMALL_CHUNK_KINDS[Math.floor(random() * SMALL_CHUNK_KINDS.length)];
-    const forMs = MIN_DURATION_MS + random() * (MAX_DURATION_MS - MIN_DURATION_MS);
-    return { kind, atMs: random() * (totalMs - forMs), forMs, which: random() };
-  }).sort((a, b) => a.atMs - b.atMs);
-};
+export const planSmallChunks = planDrawn(SMALL_CHUNK_KINDS, 5_000_011, [3, 6], SMALL_CHUNK_MS);
+
+/** Returns the times of a seed at which targets send answers without a length; they may overlap. */
+export const planUnframedAnswers = planDrawn(UNFRAMED_KINDS, 6_000_011, [1, 3], UNFRAMED_MS);
