Remove what an unreadable entry replaces; write the own entry again

Cause: only targets were removed when their entry became unreadable. An instance stayed, and the later removal of the unreadable entry did not tell which: it was advertised for ever. An own entry that another writer made unreadable counted as present and was never written again, so that instances started later did not know the instance. Change: whatever was stored under the key is removed, and an own entry that is no instance counts as missing.

--- a/packages/fleet/src/clusterState.ts
+++ b/packages/fleet/src/clusterState.ts
@@ -135,8 +135,8 @@
 
   /** Stores and publishes a record regardless of the current revision. */
   setRecord(record: StoreRecord): void {
-    // An entry that cannot be decoded identifies no target, so a target previously stored under the key is removed.
-    if (record.fact.kind === 'invalid' && this.valueAt(record.key)?.kind === 'target')
+    // An entry that cannot be decoded identifies nothing, so what was stored under the key is removed: its later removal would not tell what it was.
+    if (record.fact.kind === 'invalid' && this.hasRecord(record.key))
       this.removeRecord(record.key, record.revision);
     this.removed.delete(record.key);
     this.records.set(record.key, record);
--- a/packages/fleet/src/registration.ts
+++ b/packages/fleet/src/registration.ts
@@ -109,7 +109,9 @@
       await register();
       return;
     }
-    const missing = !clusterState.hasRecord(key) && now() - writtenAt > VISIBLE_WITHIN_MS;
+    // An entry that another writer made unreadable counts as missing.
+    const missing =
+      clusterState.valueAt(key)?.kind !== 'instance' && now() - writtenAt > VISIBLE_WITHIN_MS;
     const renewed = missing ? undefined : await store.renewLease(leaseId);
     confirmedAt = renewed?.isOk() ? now() : undefined;
     if (renewed?.isOk()) {
