Follow the store on after an odd answer of a peer

Cause: what a peer answered was hardly checked. An answer that is no object, a change without a value or a revision that is no number threw within the loop that follows the store, or became the followed position; the loop ended and the instance heard of nothing until its restart. Change: positions and records of peers are checked before use, and an error in a step makes the next one list again, after a pause. Values of a configuration below its version are not checked.

--- a/packages/fleet/src/follower.ts
+++ b/packages/fleet/src/follower.ts
@@ -208,13 +208,23 @@
     if (list || changes.length > 0 || !confirmed) await sleep(RELAY_BATCH_DELAY_MS);
     return undefined;
   };
-  const step = (): Promise<StoreFailure | undefined> => {
+  const nextStep = (): Promise<StoreFailure | undefined> => {
     if (listNext) return stepList();
     const [relay] = relays();
     connectivity.setRelay(relay);
     return relay ? stepRelay(relay) : stepWatch();
   };
 
+  /** Records that cannot be applied must not end the loop: the next step lists again. */
+  const step = async (): Promise<StoreFailure | undefined> => {
+    try {
+      return await nextStep();
+    } catch (error) {
+      listNext = true;
+      return { kind: 'unavailable', message: `unusable records: ${(error as Error).message}` };
+    }
+  };
+
   /** Emits when the store has been restored from an older copy, to end a retry delay early. */
   const wakeUps = new Subject<void>();
   const epochSubscription = store.epochs.subscribe((epoch) => {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -43,3 +43,4 @@
 export { WATCH_WAIT_MS, follow } from './follower';
 export type { Registration, RegistrationOptions } from './registration';
 export { REGISTRATION_TTL_MS, RENEW_INTERVAL_MS, startRegistration } from './registration';
+export { areReadableChanges, isReadablePosition } from './readableRecords';
--- a/packages/fleet/src/packedRecords.ts
+++ b/packages/fleet/src/packedRecords.ts
@@ -16,6 +16,7 @@
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { StorePosition } from '@cardamomladder/types';
 import { comparePositions, positionOf } from '@cardamomladder/types';
+import { areReadableChanges, isReadableList } from './readableRecords';
 import type { RecordChange, RecordList } from './records';
 
 /** Lowest deflate level. The list above compresses to 21 kB before base64 encoding; the highest level reaches 16 kB but is slower while dozens of requests wait. */
@@ -60,15 +61,10 @@
   ),
 );
 
-const isList = (value: unknown): value is RecordList => {
-  const { records, epoch, revision } = (value ?? {}) as Partial<RecordList>;
-  return Array.isArray(records) && Number.isInteger(epoch) && Number.isInteger(revision);
-};
-
 /** Unpacks a list received from a peer. */
 export const unpackList = (packed: string): ResultAsync<RecordList, UnpackFailure> =>
   readPacked(packed).andThen((value) =>
-    isList(value)
+    isReadableList(value)
       ? okAsync(value)
       : errAsync<RecordList, UnpackFailure>(
           unreadable(
@@ -77,17 +73,10 @@
         ),
   );
 
-const isChangeArray = (value: unknown): value is RecordChange[] =>
-  Array.isArray(value) &&
-  value.every(
-    (each: Partial<RecordChange> | null) =>
-      typeof each?.key === 'string' && Number.isInteger(each.revision),
-  );
-
 /** Unpacks changes received from a peer. */
 export const unpackChanges = (packed: string): ResultAsync<RecordChange[], UnpackFailure> =>
   readPacked(packed).andThen((value) =>
-    isChangeArray(value)
+    areReadableChanges(value)
       ? okAsync(value)
       : errAsync<RecordChange[], UnpackFailure>(
           unreadable(
--- a/packages/gateway/src/peers/ask.ts
+++ b/packages/gateway/src/peers/ask.ts
@@ -12,7 +12,12 @@
   SnapshotQuery,
   UnpackFailure,
 } from '@cardamomladder/fleet';
-import { unpackChanges, unpackList } from '@cardamomladder/fleet';
+import {
+  areReadableChanges,
+  isReadablePosition,
+  unpackChanges,
+  unpackList,
+} from '@cardamomladder/fleet';
 import { whileProgressing } from '@cardamomladder/http-json';
 import type { StorePosition } from '@cardamomladder/types';
 import { positionOf, storeEpoch } from '@cardamomladder/types';
@@ -88,7 +93,13 @@
     throw new Error(failure.message);
   };
   if (packed !== undefined) return { list: (await unpackList(packed)).match((l) => l, orThrow) };
-  if (packedChanges === undefined) return { changes };
+  if (packedChanges === undefined) {
+    if (changes && !(isReadablePosition(changes) && areReadableChanges(changes.changes)))
+      throw new Error("a peer's changes have an unexpected format; upgrade that peer");
+    return { changes };
+  }
+  if (!isReadablePosition(packedChanges))
+    throw new Error("a peer's position has an unexpected format; upgrade that peer");
   const unpacked = (await unpackChanges(packedChanges.packed)).match((c) => c, orThrow);
   return { changes: { ...positionOf(packedChanges), changes: unpacked } };
 };
--- a/packages/gateway/src/peers/watch.ts
+++ b/packages/gateway/src/peers/watch.ts
@@ -1,7 +1,12 @@
 /** Follows the store through a peer that watches it. */
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import type { RelayedChanges, InstanceEntry, PeerWatch, StoreFailure } from '@cardamomladder/fleet';
-import { unpackChanges, unpackList } from '@cardamomladder/fleet';
+import {
+  areReadableChanges,
+  isReadablePosition,
+  unpackChanges,
+  unpackList,
+} from '@cardamomladder/fleet';
 import { whileProgressing } from '@cardamomladder/http-json';
 import { positionOf, storeEpoch } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
@@ -21,6 +26,8 @@
   log: DecisionLog;
 }
 
+const UNREADABLE = 'its answer has an unexpected format; upgrade that peer';
+
 const peerFailure = (peer: InstanceEntry, reason: string): StoreFailure => ({
   kind: 'unavailable',
   message: `peer ${peer.id}: ${reason}`,
@@ -41,6 +48,8 @@
       .map((list) => ({ ...positionOf(list), changes: [], list, storeHeardMsAgo }))
       .mapErr(({ message }) => peerFailure(peer, message));
   const { epoch = storeEpoch(0), revision, changes = [], packed } = answer;
+  const isReadable = isReadablePosition({ epoch, revision }) && areReadableChanges(changes);
+  if (!isReadable) return errAsync(peerFailure(peer, UNREADABLE));
   const all = packed === undefined ? okAsync(changes) : unpackChanges(packed);
   return all
     .map((unpacked) => ({ changes: unpacked, epoch, revision, storeHeardMsAgo }))
@@ -66,7 +75,9 @@
       }),
       (error) => peerFailure(peer, (error as Error).message),
     )
-      .andThen((answer: ChangesResponse) => {
+      .andThen((answer: ChangesResponse | null | undefined) => {
+        if (typeof answer !== 'object' || answer === null)
+          return errAsync(peerFailure(peer, UNREADABLE));
         if ('statesPace' in answer && answer.statesPace) pace.hear();
         return changesFromResponse(peer, answer);
       })
