Log requests that an instance cuts as cut, and how far open ones are at a stop

Cause: wherever the instance itself closed a connection with requests in progress (the end of a stop, an answer broken off), the closer emits 'close' on their responses, which was taken for the caller's end: the line was 'caller-left', the metric callers_left_total, and the send 'cancelled'.

Change: no logic. closeReasonOf() tells why this process closed a connection; such requests are 'cut' lines with that reason, how far they were and the time the process had when they arrived, requests_cut_total, and sends 'cut'. The line 'stopped' says of each open request whether it was received, unsent, at a target or answered, which targets it was sent to, and how many responses are before it.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -26,6 +26,7 @@
   | 'failed'
   | 'timed-out'
   | 'caller-left'
+  | 'cut'
   | 'malformed'
   | 'no-route'
   | 'unauthorized'
@@ -60,6 +61,7 @@
   failed: 10,
   'timed-out': 10,
   'caller-left': 5,
+  cut: 50,
   malformed: 5,
   'no-route': 5,
   unauthorized: 5,
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -4,6 +4,7 @@
 import { sleep } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { CallerConnections } from '../server/callerConnections';
+import { describeProgress } from '../requests/openRequests';
 import type { Phase } from './phase';
 
 /** Part of the grace period that is kept for late timers and the last log lines, ms. */
@@ -60,12 +61,13 @@
   return 'out-of-time';
 };
 
-/** The requests that have only until the connections are closed, for the log: when they arrived after the signal, and how long they were open. */
+/** The requests that have only until the connections are closed, for the log: when they arrived after the signal, how long they were open, and how far they are. */
 const describeOpen = ({ connections, signalledAt, now }: StopOptions) =>
-  connections.unansweredRequests.slice(0, MAX_OPEN_LOGGED).map(({ id, arrivedAt }) => ({
+  connections.unansweredRequests.slice(0, MAX_OPEN_LOGGED).map(({ id, res, arrivedAt }) => ({
     id,
     arrivedMs: Math.round(arrivedAt - signalledAt),
     openMs: Math.round(now() - arrivedAt),
+    ...describeProgress(res, now()),
   }));
 
 /** Leaves the directory, serves what can be answered in the grace period until no request comes, and closes the connections. */
--- a/packages/gateway/src/requests/forward.ts
+++ b/packages/gateway/src/requests/forward.ts
@@ -6,7 +6,7 @@
 import { instanceId } from '@cardamomladder/types';
 import { FORWARDED_HEADER, encodeForwarded } from '../reach/forwardedRequest';
 import type { ForwardingPeer } from '../reach/forwardingPeers';
-import { sendAttempt } from '../targets/attempt';
+import { isAborted, sendAttempt } from '../targets/attempt';
 import { forwardedHeaders } from './responses';
 import type { RequestExecution } from './requestExecution';
 import type { Send } from './send';
@@ -73,7 +73,7 @@
     if (result.kind === 'not-run' && result.otherPeer)
       ctx.peers.recordServing(instanceId(result.otherPeer));
     const isUnusable = result.kind !== 'answer' && result.reason !== 'rejected';
-    if (isUnusable && result.reason !== 'cancelled') {
+    if (isUnusable && !isAborted(result.reason)) {
       ctx.peers.avoid(peer.id);
       ctx.log.write('forward', request.id, {
         peer: peer.id,
--- /dev/null
+++ b/packages/gateway/src/requests/openRequests.ts
@@ -0,0 +1,31 @@
+/** Finds the execution behind a response that is not complete. */
+import type { ServerResponse } from 'node:http';
+import { responsesBefore } from '../server/callerConnections';
+import type { RequestExecution } from './requestExecution';
+
+const executions = new WeakMap<ServerResponse, RequestExecution>();
+
+/** Makes the execution of a request known to the other requests on its connection, and to a stop. */
+export const announceExecution = (execution: RequestExecution): void => {
+  executions.set(execution.res, execution);
+};
+
+/** The execution of a request; undefined while it is received or admitted. */
+export const executionOf = (res: ServerResponse): RequestExecution | undefined =>
+  executions.get(res);
+
+/** How far a request is, for the log: what it waits for, where it was sent, and the time that it has left. */
+export const describeProgress = (res: ServerResponse, now: number) => {
+  const execution = executionOf(res);
+  const before = responsesBefore(res).length;
+  if (!execution) return { state: 'received', before };
+  const { request, tried, sends, isAnswered } = execution;
+  const sent = execution.hasConnected ? 'at target' : 'unsent';
+  return {
+    state: isAnswered ? 'answered' : sent,
+    before,
+    sends,
+    tried: [...tried],
+    allowedMs: Math.round(request.deadlineAt - now),
+  };
+};
--- a/packages/gateway/src/requests/remainingTime.ts
+++ b/packages/gateway/src/requests/remainingTime.ts
@@ -3,8 +3,8 @@
  * still open when the process ends loses its connection, and its caller doesn't know
  * whether it ran; one that is refused can go to another instance at once.
  */
-import type { ServerResponse } from 'node:http';
 import { responsesBefore } from '../server/callerConnections';
+import { executionOf } from './openRequests';
 import type { RequestExecution } from './requestExecution';
 
 /** Reason for rejecting a request that can't be answered before this process ends. */
@@ -24,13 +24,6 @@
   deliveryMs: number;
 }
 
-const executions = new WeakMap<ServerResponse, RequestExecution>();
-
-/** Lets requests on the same connection take this one into account. */
-export const announceExecution = (execution: RequestExecution): void => {
-  executions.set(execution.res, execution);
-};
-
 /** Within which a request in progress is answered, ms: the estimate for its kind, or its deadline once that is exceeded. */
 const untilAnswered = (
   { request, ctx, isAnswered, workStartedAt }: RequestExecution,
@@ -60,7 +53,7 @@
     allowedMs: request.deadlineAt - now,
     workMs: work.estimateAt(now),
     aheadMs: responsesBefore(res).reduce((longest, before) => {
-      const execution = executions.get(before);
+      const execution = executionOf(before);
       if (!execution || before.writableEnded) return longest;
       return Math.max(longest, untilAnswered(execution, now));
     }, 0),
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -36,7 +36,8 @@
 import type { FairShares } from './fairShares';
 import { callerDigestOf, requestDigestOf } from './digest';
 import type { ReadBarrier } from './readBarrier';
-import { recordCallerLeft } from './recordCallerLeft';
+import type { ConnectionLoss } from './lostConnection';
+import { recordLostConnection } from './lostConnection';
 import type { ServiceRetries, Withdrawal } from './retryBudgets';
 
 /** Dependencies for handling requests, provided by the instance. */
@@ -73,11 +74,14 @@
 }
 
 /** How a request ended. */
-export type ServeOutcome = 'answered' | 'rejected' | 'failed' | 'timed-out' | 'caller-left';
+export type ServeOutcome = 'answered' | 'rejected' | 'failed' | 'timed-out' | ConnectionLoss;
 
 /** Sends allowed on top of the route's limit if connections fail: half a failure domain may fail at once. */
 const EXTRA_SENDS = 2;
 
+/** Why the send in progress of a request that ends early is lost. */
+const LOST_REASONS = { 'timed-out': 'timeout', 'caller-left': 'cancelled', cut: 'cut' } as const;
+
 /** The state of a request in progress. */
 export class RequestExecution {
   readonly tried = new Set<TargetId>();
@@ -224,6 +228,11 @@
     return withdrawal;
   }
 
+  /** True if the send in progress may have reached its destination. */
+  get hasConnected(): boolean {
+    return this.currentAttempt?.isConnected() ?? false;
+  }
+
   setCurrentAttempt(attempt: Attempt): void {
     this.currentAttempt = attempt;
   }
@@ -275,16 +284,16 @@
   async endedBeforeSend(): Promise<ServeOutcome | undefined> {
     const { reads } = this.ctx;
     if (!reads.isRecent) await reads.passed();
-    if (hasCallerLeft(this.req)) this.callerLeft();
+    if (hasCallerLeft(this.req)) this.connectionLost();
     return this.ended;
   }
 
-  /** Ends the request because its caller has left. */
-  callerLeft(): void {
+  /** Ends the request because its connection has ended. */
+  connectionLost(): void {
     if (this.ended) return;
-    const { request, ctx, sends, lastSentAt } = this;
-    recordCallerLeft(request.id, { ...request, sends, lastSentAt }, ctx);
-    this.abort('caller-left');
+    const { request, req, ctx, sends, lastSentAt, isAnswered } = this;
+    const abandoned = { ...request, sends, lastSentAt, isAnswered };
+    this.abort(recordLostConnection(request.id, req, abandoned, ctx));
   }
 
   /** Sets what ends the wait for a slot when the request is ended early. */
@@ -292,15 +301,15 @@
     this.endWait = endWait;
   }
 
-  /** Ends the request early, because the caller disconnected or the deadline has passed. */
-  abort(outcome: 'timed-out' | 'caller-left'): void {
+  /** Ends the request early, because its connection has ended or the deadline has passed. */
+  abort(outcome: 'timed-out' | ConnectionLoss): void {
     if (this.ended) return;
     this.ended = outcome;
     if (outcome === 'timed-out') this.awaited?.answered(this.ctx.now());
     if (outcome === 'timed-out' && !this.res.headersSent)
       sendGatewayResponse(this.res, { status: 504, message: 'no answer in time' });
     this.endWait?.();
-    this.currentAttempt?.cancel(outcome === 'timed-out' ? 'timeout' : 'cancelled');
+    this.currentAttempt?.cancel(LOST_REASONS[outcome]);
     this.currentAttempt?.discard();
   }
 
--- a/packages/gateway/src/requests/retryPolicy.ts
+++ b/packages/gateway/src/requests/retryPolicy.ts
@@ -9,6 +9,7 @@
 import type { PeakEstimate } from '@cardamomladder/steering';
 import { overdueAfterMs } from '@cardamomladder/steering';
 import type { AttemptOutcome } from '../targets/attempt';
+import { isAborted } from '../targets/attempt';
 
 /** From this status on, a response is an error of the target, so the response of another target may be better. */
 export const FIRST_SERVER_ERROR = 500;
@@ -22,7 +23,7 @@
 ): boolean => {
   if (outcome.kind === 'not-run') return true;
   if (!isIdempotent(kind)) return false;
-  if (outcome.kind === 'lost') return outcome.reason !== 'cancelled';
+  if (outcome.kind === 'lost') return !isAborted(outcome.reason);
   if (outcome.remaining !== undefined) return false;
   // A response without framing may be truncated.
   return outcome.status >= FIRST_SERVER_ERROR || !isFramed(outcome.head, method);
--- a/packages/gateway/src/requests/send.ts
+++ b/packages/gateway/src/requests/send.ts
@@ -8,7 +8,7 @@
 import type { SendEnd } from '../reach/reachMonitor';
 import { FORWARDED_HEADER } from '../reach/forwardedRequest';
 import type { AttemptOutcome } from '../targets/attempt';
-import { sendAttempt } from '../targets/attempt';
+import { isAborted, sendAttempt } from '../targets/attempt';
 import type { ReachableTarget } from '../targets/registry';
 import { CREDENTIALS_HEADER } from '../wireProtocol';
 import { forwardedHeaders } from './responses';
@@ -83,7 +83,7 @@
   if (outcome.kind === 'answer') return 'answered';
   if (isUnsent(outcome)) return 'unknown';
   if (outcome.reason === 'unreachable' || outcome.reason === 'closed') return 'failed';
-  return outcome.reason === 'timeout' || outcome.reason === 'cancelled' ? 'unknown' : 'answered';
+  return outcome.reason === 'timeout' || isAborted(outcome.reason) ? 'unknown' : 'answered';
 };
 
 /** Expected maximum duration of a send, ms; Infinity if unknown. */
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -18,7 +18,8 @@
 import { startForward } from './forward';
 import { QUARANTINE_RETRY_AFTER_MS, recordCrashEvidence } from './crashEvidence';
 import { chooseRetry, isRefusedForRoom, reachedNoTarget } from './chooseRetry';
-import { STOPPING, announceExecution, remainingTime } from './remainingTime';
+import { announceExecution } from './openRequests';
+import { STOPPING, remainingTime } from './remainingTime';
 import { shouldRetry } from './retryPolicy';
 import { chooseRetryWhileWaiting } from './retryWhileWaiting';
 import type { Send } from './send';
@@ -236,7 +237,7 @@
   }, timeLeftMs);
   const onDisconnect = () => {
     if (res.writableFinished) return;
-    execution.callerLeft();
+    execution.connectionLost();
   };
   res.once('close', onDisconnect);
   try {
--- a/packages/gateway/src/requests/targetHealth.ts
+++ b/packages/gateway/src/requests/targetHealth.ts
@@ -5,6 +5,7 @@
 import type { TargetState } from '@cardamomladder/steering';
 import { atUsualPace, updateResponseMs } from '@cardamomladder/steering';
 import type { AttemptOutcome } from '../targets/attempt';
+import { isAborted } from '../targets/attempt';
 
 /** Initial backoff after a failed connection or lost responses, ms; doubled with each consecutive failure. */
 const INITIAL_BACKOFF_MS = 400;
@@ -77,7 +78,7 @@
     recordResponse(target, outcome, ms, sent);
   } else if (outcome.kind === 'not-run') {
     recordNotRun(target, outcome, now);
-  } else if (outcome.reason !== 'cancelled') {
+  } else if (!isAborted(outcome.reason)) {
     target.failures += sent.silent ? MIN_CONSECUTIVE_LOSSES : 1;
     if (target.failures >= MIN_CONSECUTIVE_LOSSES) backOff(target, now);
   }
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -47,6 +47,7 @@
 /** A request whose response is not complete. */
 export interface UnansweredRequest {
   id: string | undefined;
+  res: ServerResponse;
   /** Monotonic clock, ms. */
   arrivedAt: number;
 }
@@ -74,7 +75,7 @@
   trackRequest(req: IncomingMessage, res: ServerResponse): boolean {
     const socket = req.socket as CallerSocket;
     if (socket.closing) return false;
-    const request = { id: this.idOf(req), arrivedAt: this.now() };
+    const request = { id: this.idOf(req), res, arrivedAt: this.now() };
     socket.unanswered ??= watchForClose(socket);
     const { unanswered } = socket;
     unanswered.add(res);
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -28,7 +28,7 @@
 import { serve } from '../requests/serve';
 import type { ServeContext, ServeOutcome } from '../requests/requestExecution';
 import { PriorWaitEstimator } from '../requests/priorWait';
-import { recordCallerLeft } from '../requests/recordCallerLeft';
+import { recordLostConnection } from '../requests/lostConnection';
 import { CREDENTIALS_HEADER } from '../wireProtocol';
 import { admit } from './admit';
 import { CallerConnections } from './callerConnections';
@@ -191,7 +191,7 @@
     const arrivedAt = now();
     await reads.passed();
     if (hasCallerLeft(req)) {
-      recordCallerLeft(requestIdOf(req, wire.headers), { sends: 0, arrivedAt }, options);
+      recordLostConnection(requestIdOf(req, wire.headers), req, { sends: 0, arrivedAt }, options);
       return;
     }
     if (req.headers.host === undefined) {
--- a/packages/gateway/src/targets/attempt.ts
+++ b/packages/gateway/src/targets/attempt.ts
@@ -53,7 +53,11 @@
 }
 
 /** Reason why it is unknown whether a request ran. */
-export type LostReason = 'timeout' | 'closed' | 'garbled' | 'cancelled';
+export type LostReason = 'timeout' | 'closed' | 'garbled' | 'cancelled' | 'cut';
+
+/** True if a send ended since its request's connection did, which says nothing about its destination. */
+export const isAborted = (reason: LostReason | NotRunReason): boolean =>
+  reason === 'cancelled' || reason === 'cut';
 
 /** The rest of a response that is too large to buffer. Its connection is not read until it is released. */
 export interface RemainingBody {
--- a/packages/http-json/src/index.ts
+++ b/packages/http-json/src/index.ts
@@ -1,5 +1,5 @@
-export type { ClosedConnection } from './lingeringClose';
-export { ConnectionCloser, breakOff, endsWithConnection } from './lingeringClose';
+export type { CloseReason, ClosedConnection } from './lingeringClose';
+export { ConnectionCloser, breakOff, closeReasonOf, endsWithConnection } from './lingeringClose';
 export { refuseMalformed } from './malformedRequests';
 export type { MemoryHolder } from './memoryBudget';
 export { MemoryBudget } from './memoryBudget';
--- a/packages/http-json/src/lingeringClose.ts
+++ b/packages/http-json/src/lingeringClose.ts
@@ -10,7 +10,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Why a server closes a connection. */
-export type CloseReason = 'answered' | 'idle' | 'refused' | 'stop';
+export type CloseReason = 'answered' | 'idle' | 'refused' | 'stop' | 'broken-off';
 
 /** What ended a connection after its sending half was closed: the peer in order, a reset, or a limit. */
 export type CloseEnd = 'peer' | 'reset' | 'time' | 'bytes' | 'number';
@@ -95,12 +95,20 @@
   unframedResponses.add(res);
 };
 
+const closeReasons = new WeakMap<Socket, CloseReason>();
+
+/** Why this process closed a connection; undefined if it has not, so that the peer ended it. */
+export const closeReasonOf = (socket: Socket): CloseReason | undefined => closeReasons.get(socket);
+
 /** Ends a response early, and its connection, without making it look complete or losing the responses before it. */
 export const breakOff = (res: ServerResponse): void => {
   const { socket } = res;
   if (!socket) {
     if (!res.destroyed) res.once('socket', () => breakOff(res));
-  } else if (res.headersSent && unframedResponses.has(res)) socket.resetAndDestroy();
+    return;
+  }
+  closeReasons.set(socket, 'broken-off');
+  if (res.headersSent && unframedResponses.has(res)) socket.resetAndDestroy();
   else socket.destroySoon();
 };
 
@@ -219,8 +227,9 @@
   /** Records why a connection is closed; returns its responses that are not complete. */
   private beginClose(connection: Connection, reason: CloseReason) {
     const unanswered = [...connection.pending].filter(({ writableFinished }) => !writableFinished);
+    if (!closeReasons.has(connection.socket)) closeReasons.set(connection.socket, reason);
     const closing: Closing = {
-      reason,
+      reason: closeReasons.get(connection.socket) ?? reason,
       since: performance.now(),
       endedBy: 'peer',
       unanswered: unanswered.map(({ req }) => this.options.idOf(req)),
--- a/packages/telemetry/src/gatewayMetrics.ts
+++ b/packages/telemetry/src/gatewayMetrics.ts
@@ -59,6 +59,8 @@
   connectionsClosed: Counter<'reason' | 'ended_by'>;
   /** Callers that left before their answer was complete, by how far their request was. */
   callersLeft: Counter<'request'>;
+  /** Requests whose connection this instance closed before their answer was complete, by why and how far they were. */
+  requestsCut: Counter<'reason' | 'request'>;
 }
 
 /** Creates a registry with the metrics of one instance; `defaults` adds the Node.js process metrics. */
@@ -163,6 +165,11 @@
       'Callers that left before their answer was complete, by whether their request had been sent.',
       ['request'],
     ),
+    requestsCut: counter(
+      'requests_cut_total',
+      'Requests whose connection this instance closed before their answer was complete, by why, and by whether they had been sent.',
+      ['reason', 'request'],
+    ),
     logLinesDropped: gauge('log_lines_dropped', 'Log lines dropped as the reader was too slow.'),
   };
 };
