Keep connections for all of the grace period at a stop

What callers saw: an answer that lay unread was lost when they wrote again, as the process had ended 2 s after it had closed its connections, although the grace period left it more (10 of 10 callers that read 5.55 s after the signal, grace period 6 s; acceptedAtStop.test.ts).

Change: connections on which responses are awaited (callers, requests of peers) are kept until their peers close them or the process has to end; the others for 2 s as before. Callers that close behind our close end the stop as early as before.

--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -13,8 +13,6 @@
 const CLOSE_RESERVE_MS = 300;
 /** Each of them at most, as a fraction of the grace period. */
 const MAX_RESERVE_FRACTION = 0.1;
-/** Maximum time for closing the connections, ms. */
-const MAX_CLOSE_MS = 2000;
 /** Fraction of the grace period before which the shutdown does not end, even without requests: callers return until their directory responses expire. */
 const MIN_LEAVING_FRACTION = 0.5;
 /** Interval between checks for unanswered requests, ms. */
@@ -90,7 +88,7 @@
     ms: Math.round(now() - signalledAt),
   });
   const closingAt = now();
-  await options.closeConnections(Math.min(MAX_CLOSE_MS, processEndsAt(options) - closingAt));
+  await options.closeConnections(processEndsAt(options) - closingAt);
   log.write('lifecycle', undefined, {
     event: 'connections closed',
     ms: Math.round(now() - closingAt),
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -171,6 +171,8 @@
   });
 };
 
+/** Time for which a stop lets peers close their connections where it awaits no responses, ms. */
+const MAX_UNAWAITED_CLOSE_MS = 2000;
 const MS_PER_SECOND = 1000;
 /** Time from which a run of accepted connections is logged, ms: a caller gives a connection up after a second. */
 const LOGGED_ACCEPT_RUN_MS = 250;
@@ -302,9 +304,10 @@
       `${instance.ip}:${metricsPort}`,
     ]);
   servers.forEach(([server]) => paceConnections(server));
-  const closers = servers.map(([server, , isAwaited = () => false]) =>
-    createConnectionCloser(server, isAwaited, components),
-  );
+  const closers = servers.map(([server, , isAwaited]) => ({
+    closer: createConnectionCloser(server, isAwaited ?? (() => false), components),
+    maxMs: isAwaited ? Infinity : MAX_UNAWAITED_CLOSE_MS,
+  }));
   await Promise.all(servers.map(([server, address]) => listen(server, address)));
   return {
     connections,
@@ -312,7 +315,7 @@
       reach.stop();
       quotas.stop();
       exchange.unsubscribe();
-      await Promise.all(closers.map((closer) => closer.closeAll(ms)));
+      await Promise.all(closers.map(({ closer, maxMs }) => closer.closeAll(Math.min(ms, maxMs))));
     },
   };
 };
