At a stop, accept only requests that end before the process in any case

Cause: a request was let in if nearly all requests of its kind are answered within the time that is left, an estimate from what the instance had seen. Work that grows, or differs by object, makes it too low, most on an instance that has just started; the process ends by the clock. Class: accepted by an estimate, ended by a bound.

Change: what counts is the moment at which a request is answered in any case: its deadline (of the route and the caller), for downloads the end of its caller's wait, and the same of the requests before it on its connection. The estimate of the delivery may still refuse, never let in; it is measured from the moment at which an answer is next on its connection, as the wait behind others is bounded by theirs. The estimate of the work is gone. The decision does not change with time, so it is made when the head has arrived: an upload that can't be answered is refused before its body is read. What no target has seen when the connections are closed (uploads, connections that hang) is refused as not run.

Why it works: a request that is let in gets its answer, or a 504 at its deadline, before the connections are closed.

--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -4,7 +4,7 @@
 import { sleep } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { CallerConnections } from '../server/callerConnections';
-import { describeProgress } from '../requests/openRequests';
+import { describeProgress, refuseUnsent } from '../requests/openRequests';
 import type { Phase } from './phase';
 
 /** Part of the grace period that is kept for late timers and the last log lines, ms. */
@@ -87,6 +87,7 @@
     open: describeOpen(options),
     ms: Math.round(now() - signalledAt),
   });
+  connections.unansweredRequests.forEach(({ res }) => refuseUnsent(res));
   const closingAt = now();
   await options.closeConnections(processEndsAt(options) - closingAt);
   log.write('lifecycle', undefined, {
--- a/packages/gateway/src/requests/destination.ts
+++ b/packages/gateway/src/requests/destination.ts
@@ -4,7 +4,7 @@
 import type { ForwardingPeer } from '../reach/forwardingPeers';
 import type { ReachableTarget } from '../targets/registry';
 import type { CallerRequest } from './callerRequest';
-import { STOPPING, finishesInTime, remainingTime } from './remainingTime';
+import { STOPPING, endsInTime, remainingTime } from './remainingTime';
 import type { RequestExecution } from './requestExecution';
 
 /** Where a request is sent. */
@@ -52,7 +52,7 @@
   const { request, ctx } = execution;
   const { reach } = ctx;
   const remaining = remainingTime(execution);
-  if (remaining && !finishesInTime(remaining))
+  if (remaining && !endsInTime(remaining))
     return { kind: 'rejected', reason: STOPPING, retryAfterMs: 0 };
   if (reach.isCutOff) {
     const peer = choosePeer(execution);
--- a/packages/gateway/src/requests/lostConnection.ts
+++ b/packages/gateway/src/requests/lostConnection.ts
@@ -1,7 +1,8 @@
 /** Records requests whose connection ended before their response was complete. */
 import type { IncomingMessage } from 'node:http';
+import type { CloseReason } from '@cardamomladder/http-json';
 import { closeReasonOf } from '@cardamomladder/http-json';
-import type { GatewayMetrics } from '@cardamomladder/telemetry';
+import type { GatewayMetrics, LogFields } from '@cardamomladder/telemetry';
 import type { DecisionLog } from '../decisionLog';
 
 /** Who ended the connection: its caller, or this instance. */
@@ -27,28 +28,46 @@
   now: () => number;
 }
 
-/** Writes the log line and counts the request. */
+const timingOf = (
+  { sends, arrivedAt, deadlineAt, lastSentAt }: AbandonedRequest,
+  now: number,
+): LogFields => ({
+  sends,
+  waitedMs: Math.round(now - arrivedAt),
+  sinceSendMs: lastSentAt === undefined ? undefined : Math.round(now - lastSentAt),
+  allowedMs: deadlineAt === undefined ? undefined : Math.round(deadlineAt - arrivedAt),
+});
+
+const progressOf = ({ sends }: AbandonedRequest): 'sent' | 'unsent' =>
+  sends > 0 ? 'sent' : 'unsent';
+
+/** Writes the log line of a request that this instance did not let end, and counts it. */
+export const recordCut = (
+  id: string | undefined,
+  reason: CloseReason,
+  request: AbandonedRequest,
+  { metrics, log, endsAt, now }: LossRecorder,
+): void => {
+  const { arrivedAt, isAnswered = false } = request;
+  metrics.requestsCut.inc({ reason, request: progressOf(request) });
+  const leftAtArrivalMs = Number.isFinite(endsAt()) ? Math.round(endsAt() - arrivedAt) : undefined;
+  log.write('cut', id, { reason, isAnswered, ...timingOf(request, now()), leftAtArrivalMs });
+};
+
+/** Records a request whose connection has ended: as cut if this instance closed it. */
 export const recordLostConnection = (
   id: string | undefined,
   { socket }: Pick<IncomingMessage, 'socket'>,
-  { sends, arrivedAt, deadlineAt, lastSentAt, isAnswered = false }: AbandonedRequest,
-  { metrics, log, endsAt, now }: LossRecorder,
+  request: AbandonedRequest,
+  recorder: LossRecorder,
 ): ConnectionLoss => {
   const reason = closeReasonOf(socket);
-  const request = sends > 0 ? 'sent' : 'unsent';
-  const timing = {
-    sends,
-    waitedMs: Math.round(now() - arrivedAt),
-    sinceSendMs: lastSentAt === undefined ? undefined : Math.round(now() - lastSentAt),
-    allowedMs: deadlineAt === undefined ? undefined : Math.round(deadlineAt - arrivedAt),
-  };
-  if (reason === undefined) {
-    metrics.callersLeft.inc({ request });
-    log.write('caller-left', id, timing);
-    return 'caller-left';
+  if (reason !== undefined) {
+    recordCut(id, reason, request, recorder);
+    return 'cut';
   }
-  metrics.requestsCut.inc({ reason, request });
-  const leftAtArrivalMs = Number.isFinite(endsAt()) ? Math.round(endsAt() - arrivedAt) : undefined;
-  log.write('cut', id, { reason, isAnswered, ...timing, leftAtArrivalMs });
-  return 'cut';
+  const { metrics, log, now } = recorder;
+  metrics.callersLeft.inc({ request: progressOf(request) });
+  log.write('caller-left', id, timingOf(request, now()));
+  return 'caller-left';
 };
--- a/packages/gateway/src/requests/openRequests.ts
+++ b/packages/gateway/src/requests/openRequests.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { responsesBefore } from '../server/callerConnections';
 import type { RequestExecution } from './requestExecution';
+import { sendGatewayResponse } from './responses';
 
 const executions = new WeakMap<ServerResponse, RequestExecution>();
 
@@ -29,3 +30,11 @@
     allowedMs: Math.round(request.deadlineAt - now),
   };
 };
+
+/** Refuses a request as this process ends, if no target may have seen it. */
+export const refuseUnsent = (res: ServerResponse): void => {
+  const execution = executionOf(res);
+  if (execution) execution.refuseUnsent();
+  else if (!res.headersSent)
+    sendGatewayResponse(res, { status: 503, message: 'not run: stopping', retryAfterMs: 0 });
+};
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -3,13 +3,7 @@
 import type { Span } from '@opentelemetry/api';
 import type { CrashReports } from '@cardamomladder/fleet';
 import type { MemoryBudget, MemoryHolder } from '@cardamomladder/http-json';
-import type {
-  AwaitedResponse,
-  OverShare,
-  Quarantine,
-  RecentAnswers,
-  ShareDecision,
-} from '@cardamomladder/steering';
+import type { OverShare, Quarantine, RecentAnswers, ShareDecision } from '@cardamomladder/steering';
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type {
   IssuedRequest,
@@ -24,9 +18,8 @@
 import type { PaceProbes } from '../pace/paceProbes';
 import type { ForwardingPeers } from '../reach/forwardingPeers';
 import type { ReachMonitor } from '../reach/reachMonitor';
-import type { Attempt } from '../targets/attempt';
+import type { Attempt, AttemptOutcome } from '../targets/attempt';
 import type { CrashDetector } from '../targets/crashDetector';
-import type { ResponseTails } from '../targets/reachableTarget';
 import type { TargetRegistry } from '../targets/registry';
 import type { WireProtocol } from '../wireProtocol';
 import type { Admission } from './admission';
@@ -38,6 +31,7 @@
 import type { ReadBarrier } from './readBarrier';
 import type { ConnectionLoss } from './lostConnection';
 import { recordLostConnection } from './lostConnection';
+import { STOPPING } from './remainingTime';
 import type { ServiceRetries, Withdrawal } from './retryBudgets';
 
 /** Dependencies for handling requests, provided by the instance. */
@@ -80,7 +74,12 @@
 const EXTRA_SENDS = 2;
 
 /** Why the send in progress of a request that ends early is lost. */
-const LOST_REASONS = { 'timed-out': 'timeout', 'caller-left': 'cancelled', cut: 'cut' } as const;
+const LOST_REASONS = {
+  'timed-out': 'timeout',
+  'caller-left': 'cancelled',
+  cut: 'cut',
+  rejected: 'cut',
+} as const;
 
 /** The state of a request in progress. */
 export class RequestExecution {
@@ -112,10 +111,8 @@
 
   private withdrawal: Withdrawal | undefined;
 
-  private awaited: AwaitedResponse | undefined;
-
-  /** When the request was first sent; monotonic clock, ms. */
-  workStartedAt: number | undefined;
+  /** True once a send has ended without a statement that the request did not run. */
+  private hasRunPossibly = false;
 
   /** True once its answer only has to be delivered. */
   isAnswered = false;
@@ -228,6 +225,14 @@
     return withdrawal;
   }
 
+  get mayHaveRun(): boolean {
+    return this.hasRunPossibly;
+  }
+
+  recordSendEnd({ kind }: AttemptOutcome): void {
+    if (kind !== 'not-run') this.hasRunPossibly = true;
+  }
+
   /** True if the send in progress may have reached its destination. */
   get hasConnected(): boolean {
     return this.currentAttempt?.isConnected() ?? false;
@@ -251,30 +256,26 @@
     else this.res.once('socket', callback);
   }
 
-  /** Starts measuring how long the request takes; called with its first send. */
-  startWork(): void {
-    const { request, ctx } = this;
-    this.workStartedAt = ctx.now();
-    this.awaited = this.responseTails.work.start(this.workStartedAt, request.deadlineAt);
-  }
-
-  /** Records that the answer is there, and measures how long its delivery takes. */
+  /** Records that the answer is there, and measures how long its delivery takes once it is next on its connection. */
   recordAnswer(): void {
-    const { res, ctx } = this;
-    const at = ctx.now();
+    const { request, res, ctx } = this;
     this.isAnswered = true;
-    this.awaited?.answered(at);
-    res.once('finish', () => this.responseTails.delivery.record(ctx.now() - at, ctx.now()));
-  }
-
-  /** Ends the measurement of a request that has no answer. */
-  endWork(): void {
-    this.awaited?.discard();
+    const deliveries = ctx.registry.forService(request.service).deliveries[request.route.kind];
+    this.whenNext(() => {
+      const delivery = deliveries.start(ctx.now(), request.callerLeavesAt);
+      res.once('finish', () => delivery.answered(ctx.now()));
+      res.once('close', () => delivery.discard());
+    });
   }
 
-  private get responseTails(): ResponseTails {
-    const { request, ctx } = this;
-    return ctx.registry.forService(request.service).responseTails[request.route.kind];
+  /** Refuses the request as this process ends, unless a target may have seen it. */
+  refuseUnsent(): void {
+    const { res, ctx, request } = this;
+    if (this.ended || this.mayHaveRun || this.hasConnected || res.headersSent) return;
+    ctx.metrics.rejections.inc({ reason: STOPPING });
+    ctx.log.write('rejected', request.id, { reason: STOPPING, sends: this.sends });
+    sendGatewayResponse(res, { status: 503, message: `not run: ${STOPPING}`, retryAfterMs: 0 });
+    this.abort('rejected');
   }
 
   /**
@@ -301,11 +302,10 @@
     this.endWait = endWait;
   }
 
-  /** Ends the request early, because its connection has ended or the deadline has passed. */
-  abort(outcome: 'timed-out' | ConnectionLoss): void {
+  /** Ends the request early, because its connection has ended, the deadline has passed or it is refused. */
+  abort(outcome: keyof typeof LOST_REASONS): void {
     if (this.ended) return;
     this.ended = outcome;
-    if (outcome === 'timed-out') this.awaited?.answered(this.ctx.now());
     if (outcome === 'timed-out' && !this.res.headersSent)
       sendGatewayResponse(this.res, { status: 504, message: 'no answer in time' });
     this.endWait?.();
--- a/packages/gateway/src/requests/serve.ts
+++ b/packages/gateway/src/requests/serve.ts
@@ -122,10 +122,9 @@
 const finish = async (
   execution: RequestExecution,
   outcome: AttemptOutcome,
-  mayHaveRun: boolean,
   destination: Destination,
 ): Promise<ServeOutcome> => {
-  const { request, res, ctx } = execution;
+  const { request, res, ctx, mayHaveRun } = execution;
   if (outcome.kind === 'answer') {
     execution.recordAnswer();
     logUnframed(execution, outcome);
@@ -144,7 +143,6 @@
 
 const startSendTo = (execution: RequestExecution, destination: Destination): Send => {
   const { request, ctx } = execution;
-  if (execution.sends === 0) execution.startWork();
   const withdrawal = execution.takeWithdrawal();
   const send =
     destination.kind === 'peer'
@@ -174,7 +172,6 @@
   const first = admitted instanceof Promise ? await admitted : admitted;
   if (first.kind === 'rejected') return execution.ended ?? reject(execution, first);
   let { destination, send } = first;
-  let mayHaveRun = false;
   let lastResponse: TargetResponse | undefined;
   for (;;) {
     const retryWhileWaiting = await chooseRetryWhileWaiting(execution, send, destination);
@@ -183,7 +180,7 @@
     if (destination.kind === 'target')
       await recordCrashEvidence(execution, destination.target, outcome);
     if (execution.ended) return execution.ended;
-    mayHaveRun = mayHaveRun || outcome.kind !== 'not-run';
+    execution.recordSendEnd(outcome);
     if (outcome.kind === 'answer') lastResponse = outcome;
     // A response may arrive while the retry waits for the budget.
     if (
@@ -191,14 +188,14 @@
       outcome.kind === 'answer' &&
       !shouldRetry(request.route.kind, outcome, request.method)
     )
-      return finish(execution, outcome, mayHaveRun, destination);
+      return finish(execution, outcome, destination);
     if (reachedNoTarget(outcome)) execution.countUnreachableSend();
     const retry =
       retryWhileWaiting ??
       (isFinal(outcome, destination) ? undefined : await chooseRetry(execution, outcome));
     if (execution.ended) return execution.ended;
     // An error response from one target is preferred to no response from the next.
-    if (!retry) return finish(execution, lastResponse ?? outcome, mayHaveRun, destination);
+    if (!retry) return finish(execution, lastResponse ?? outcome, destination);
     const ended = await execution.endedBeforeSend();
     if (ended) {
       if (retry.kind === 'target') retry.target.placed.selfReport.limit.cancelSend(ctx.now());
@@ -246,7 +243,6 @@
     return fail(execution, error as Error);
   } finally {
     clearTimeout(timer);
-    execution.endWork();
     execution.takeWithdrawal()?.refund();
   }
 };
--- a/packages/gateway/src/server/callerServer.ts
+++ b/packages/gateway/src/server/callerServer.ts
@@ -25,6 +25,7 @@
   requestIdOf,
   requestedTimeoutMs,
 } from '../requests/callerRequest';
+import { endsInTime, remainingTimeUntil } from '../requests/remainingTime';
 import { serve } from '../requests/serve';
 import type { ServeContext, ServeOutcome } from '../requests/requestExecution';
 import { PriorWaitEstimator } from '../requests/priorWait';
@@ -124,6 +125,13 @@
     }
     const waitMs = requestedTimeoutMs(req, wire.headers);
     const deadlineAt = deadlineOf(route, waitMs, arrivedAt);
+    const leavesAt = callerLeavesAt(waitMs, arrivedAt);
+    const end = { route, deadlineAt, callerLeavesAt: leavesAt };
+    const remaining = remainingTimeUntil(end, res, options);
+    if (remaining && !endsInTime(remaining)) {
+      reject.stopping(res, id, route, remaining);
+      return;
+    }
     const body = await receiveBody(req, res, {
       maxBytes: limits?.bodyBytes ?? MAX_HEAD_BYTES,
       maxMs: deadlineAt - now(),
@@ -145,6 +153,7 @@
       });
       return;
     }
+    if (res.headersSent) return;
     const homeRegions = intersectHomeRegions(route.homeRegions, customer?.homeRegions ?? []);
     if (homeRegions === 'nowhere') {
       reject.notRun(
@@ -156,6 +165,10 @@
     }
     const admission = customer && (await admit(quotas, customer, res));
     if (admission?.kind === 'left') return;
+    if (res.headersSent) {
+      if (customer && admission?.kind === 'admitted') quotas.refund(customer);
+      return;
+    }
     if (customer && admission?.kind === 'over-limit') {
       reject.overLimit(res, id, customer, admission.retryAfterMs);
       return;
@@ -176,7 +189,7 @@
       body,
       arrivedAt,
       deadlineAt,
-      callerLeavesAt: callerLeavesAt(waitMs, arrivedAt),
+      callerLeavesAt: leavesAt,
       waitedBeforeMs: waitMs === undefined ? 0 : priorWait.estimate(route.name, waitMs),
     };
     const span = spans.startSpan('gateway.request', { kind: SpanKind.SERVER });
@@ -233,6 +246,7 @@
       if (!connections.trackUntilAnswered(req, res, phase)) return;
       handle(req, res).catch((error: Error) => {
         if (error instanceof BodyError) {
+          if (res.headersSent) return;
           reject.malformed(res, requestIdOf(req, wire.headers), error.message, error.status);
           return;
         }
--- a/packages/gateway/src/server/forwardedServer.ts
+++ b/packages/gateway/src/server/forwardedServer.ts
@@ -114,6 +114,7 @@
     res.setHeader(wire.headers.requestId, id);
     const maxBytes = configured.limits?.bodyBytes ?? MAX_BODY_BYTES;
     const body = await receiveBody(req, res, { maxBytes, maxMs: MAX_BODY_MS, memory: bodies });
+    if (res.headersSent) return;
     const route = configured.routes?.(req.headers.host ?? '', req.url ?? '/');
     const isServing = phase.value === 'serving' || phase.value === 'leaving';
     if (decoded.value.to !== self || !isServing) {
@@ -147,7 +148,7 @@
     if (!connections.trackUntilAnswered(req, res, phase)) return;
     handle(req, res).catch((error: Error) => {
       if (error instanceof BodyError) {
-        rejectNotRun(res, error.message, 0);
+        if (!res.headersSent) rejectNotRun(res, error.message, 0);
         return;
       }
       log.write('failed', requestIdOf(req, wire.headers), { reason: error.message });
--- a/packages/gateway/src/targets/reachableTarget.ts
+++ b/packages/gateway/src/targets/reachableTarget.ts
@@ -25,12 +25,6 @@
   entry: TargetEntry;
 }
 
-/** How long requests of one kind take: until the answer is there, and from then until the caller has it. */
-export interface ResponseTails {
-  work: ResponseTail;
-  delivery: ResponseTail;
-}
-
 /** A service's pool, its cached rankings, and the state derived from all its targets. */
 export interface ServiceTargets {
   pool: ServicePool;
@@ -44,5 +38,6 @@
   priorityBaseline: PriorityBaseline;
   /** The longest recent response times, for objects that the target was sent before and for new ones. */
   peakResponseTimes: { cached: PeakResponseTime; uncached: PeakResponseTime };
-  responseTails: Readonly<Record<RequestKind, ResponseTails>>;
+  /** How long answers to requests of each kind take until their callers have them. */
+  deliveries: Readonly<Record<RequestKind, ResponseTail>>;
 }
--- a/packages/gateway/src/targets/serviceTargets.ts
+++ b/packages/gateway/src/targets/serviceTargets.ts
@@ -19,7 +19,7 @@
 import type { InstanceSettings } from '@cardamomladder/settings';
 import { appliesTo } from '../scope';
 import { IdleLimit } from './idleLimit';
-import type { ResponseTails, ServiceTargets } from './reachableTarget';
+import type { ServiceTargets } from './reachableTarget';
 
 /** The conditions of a service that other components determine. */
 export interface ServiceConditions extends Pick<
@@ -34,11 +34,6 @@
   onPassedOver: (target: TargetState, pace: ServicePace) => void;
 }
 
-const createTails = (): ResponseTails => ({
-  work: new ResponseTail(),
-  delivery: new ResponseTail(),
-});
-
 /** Creates a service's state without any target. */
 export const createServiceTargets = ({
   pace: paceSettings,
@@ -68,10 +63,10 @@
     reportStaleness: new ReportStaleness(() => created.pool.targets.length),
     priorityBaseline: new PriorityBaseline(),
     peakResponseTimes,
-    responseTails: {
-      idempotent: createTails(),
-      'non-idempotent': createTails(),
-      download: createTails(),
+    deliveries: {
+      idempotent: new ResponseTail(),
+      'non-idempotent': new ResponseTail(),
+      download: new ResponseTail(),
     },
     pool: {
       ...conditions,
