Pass on answers that wait behind a request which outlasts the process

What callers saw: answers that targets had made were lost at the end of a stop, as a request before them on their connection was still at its target.

Change: 50 ms before the end of the process a request without an answer gets 504, so that the answers behind it go out whole. It is lost in any case, was sent before the signal, and is a 'cut' line.

Evidence: acceptedAtStop.test.ts > passes on what was answered behind a request that outlasts it; on neither of the two answers arrived, here both do.

--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -4,13 +4,15 @@
 import { sleep } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
 import type { CallerConnections } from '../server/callerConnections';
-import { describeProgress, refuseUnsent } from '../requests/openRequests';
+import { describeProgress, giveUpAtStop, refuseUnsent } from '../requests/openRequests';
 import type { Phase } from './phase';
 
 /** Part of the grace period that is kept for late timers and the last log lines, ms. */
 const END_RESERVE_MS = 200;
 /** Part of it in which callers receive the last answers and close their connections, ms. */
 const CLOSE_RESERVE_MS = 300;
+/** Part of it, before the end of the process, in which answers go out that were made behind one that is given up, ms. */
+const LAST_ANSWERS_MS = 50;
 /** Each of them at most, as a fraction of the grace period. */
 const MAX_RESERVE_FRACTION = 0.1;
 /** Fraction of the grace period before which the shutdown does not end, even without requests: callers return until their directory responses expire. */
@@ -89,7 +91,13 @@
   });
   connections.unansweredRequests.forEach(({ res }) => refuseUnsent(res));
   const closingAt = now();
-  await options.closeConnections(processEndsAt(options) - closingAt);
+  const closeMs = processEndsAt(options) - closingAt;
+  const timer = setTimeout(
+    () => connections.unansweredRequests.forEach(({ res }) => giveUpAtStop(res)),
+    closeMs - LAST_ANSWERS_MS,
+  );
+  await options.closeConnections(closeMs);
+  clearTimeout(timer);
   log.write('lifecycle', undefined, {
     event: 'connections closed',
     ms: Math.round(now() - closingAt),
--- a/packages/gateway/src/requests/openRequests.ts
+++ b/packages/gateway/src/requests/openRequests.ts
@@ -38,3 +38,6 @@
   else if (!res.headersSent)
     sendGatewayResponse(res, { status: 503, message: 'not run: stopping', retryAfterMs: 0 });
 };
+
+/** Gives up a request as this process ends, so that the answers behind it on its connection go out. */
+export const giveUpAtStop = (res: ServerResponse): void => executionOf(res)?.giveUpAtStop();
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -30,7 +30,7 @@
 import { callerDigestOf, requestDigestOf } from './digest';
 import type { ReadBarrier } from './readBarrier';
 import type { ConnectionLoss } from './lostConnection';
-import { recordLostConnection } from './lostConnection';
+import { recordCut, recordLostConnection } from './lostConnection';
 import { STOPPING } from './remainingTime';
 import type { ServiceRetries, Withdrawal } from './retryBudgets';
 
@@ -268,6 +268,15 @@
     });
   }
 
+  /** Gives up the request as this process ends, so that the answers behind it on its connection go out. */
+  giveUpAtStop(): void {
+    const { res, ctx, request, sends, lastSentAt } = this;
+    if (this.ended || this.isAnswered || res.headersSent) return;
+    recordCut(request.id, 'stop', { ...request, sends, lastSentAt }, ctx);
+    sendGatewayResponse(res, { status: 504, message: 'no answer before this instance ends' });
+    this.abort('cut');
+  }
+
   /** Refuses the request as this process ends, unless a target may have seen it. */
   refuseUnsent(): void {
     const { res, ctx, request } = this;
