--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -10,6 +10,7 @@
   PARTITION_KINDS,
   SLOW_TARGET_KINDS,
   SMALL_CHUNK_KINDS,
+  STOP_KINDS,
   UNFRAMED_KINDS,
   WRITING_AHEAD_KINDS,
   planFaults,
@@ -18,6 +19,7 @@
   planPartitions,
   planSlowTargets,
   planSmallChunks,
+  planStops,
   planUnframedAnswers,
   planWritingAhead,
 } from './plan';
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -73,6 +73,13 @@
 /** Answers without a length, some of them broken off, to callers that check every byte. */
 export const UNFRAMED_KINDS = ['targets-answer-without-length'] as const;
 
+/** Work that grows and differs by object, stops of several instances at once, and of ones that have just started. */
+export const STOP_KINDS = [
+  'work-grows',
+  'instances-stopped-together',
+  'instance-stopped-when-young',
+] as const;
+
 export interface PlannedFault {
   kind: (
     | typeof FAULT_KINDS
@@ -83,6 +90,7 @@
     | typeof WRITING_AHEAD_KINDS
     | typeof SMALL_CHUNK_KINDS
     | typeof UNFRAMED_KINDS
+    | typeof STOP_KINDS
   )[number];
   atMs: number;
   forMs: number;
@@ -248,3 +256,10 @@
 
 /** Returns the times of a seed at which targets send answers without a length; they may overlap. */
 export const planUnframedAnswers = planDrawn(UNFRAMED_KINDS, 6_000_011, [1, 3], UNFRAMED_MS);
+
+const STOP_MS: Range = [MIN_WRITING_AHEAD_MS, MAX_WRITING_AHEAD_MS];
+/** Callers that pipeline are drawn with the stops, and work that grows twice as often as each. */
+const DRAWN_WITH_STOPS = ['work-grows', 'callers-write-ahead', ...STOP_KINDS] as const;
+
+/** Returns the stops of a seed that go together with work that grows and callers that pipeline; they may overlap. */
+export const planStops = planDrawn(DRAWN_WITH_STOPS, 7_000_003, [4, 7], STOP_MS);
