--- a/packages/cli/src/__tests__/stopBehindPart.test.ts
+++ b/packages/cli/src/__tests__/stopBehindPart.test.ts
@@ -1,4 +1,4 @@
-/** A stop of an entry never makes a part of a response look whole. */
+/** A stop of an entry never makes a part of a response look whole, and loses no whole one. */
 import type { AddressInfo } from 'node:net';
 import { connect, createServer } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -16,11 +16,11 @@
 const closing: (() => void)[] = [];
 afterEach(() => closing.splice(0).forEach((close) => close()));
 
-/** Sends the targets of `bundle` to one that never ends its responses; returns its address. */
-const startEndlessTarget = async (): Promise<string> => {
+/** Sends the targets of `bundle` to one that answers with `response`; returns its address. */
+const startTarget = async (response: string): Promise<string> => {
   const server = createServer((socket) => {
     socket.on('error', () => {});
-    socket.once('data', () => socket.write(`HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n${PART}`));
+    socket.once('data', () => socket.write(response));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -34,7 +34,7 @@
   return address;
 };
 
-const startShortEntry = (url: string) => {
+const startShortEntry = async (url: string, target: string) => {
   const settings = validateEntrySettings({
     id: 'entry-short',
     region: 'north',
@@ -44,20 +44,21 @@
     drainGraceMs: GRACE_MS,
   });
   if (settings.isErr()) throw settings.error;
-  return startEntry(settings.value);
+  const entry = await startEntry(settings.value);
+  await entry.ready();
+  const isKnown = () =>
+    [...(entry.fleet.services.get(serviceName('bundle'))?.targets.values() ?? [])].some(
+      ({ address }) => address === target,
+    );
+  while (!isKnown()) await sleep(50);
+  return entry;
 };
 
 describe('an entry that stops while a target has not ended a response without a length', () => {
   it('resets the connection of a caller of HTTP/1.0', async () => {
     // Guards against an orderly end behind a part, which makes it look whole.
-    const target = await startEndlessTarget();
-    const entry = await startShortEntry(cluster().platform.url);
-    await entry.ready();
-    const isKnown = () =>
-      [...(entry.fleet.services.get(serviceName('bundle'))?.targets.values() ?? [])].some(
-        ({ address }) => address === target,
-      );
-    while (!isKnown()) await sleep(50);
+    const target = await startTarget(`HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n${PART}`);
+    const entry = await startShortEntry(cluster().platform.url, target);
     const [host, port] = entry.address.split(':');
     const callers = Array.from({ length: CALLERS }, () => {
       const socket = connect(Number(port), host);
@@ -80,3 +81,37 @@
     );
   });
 });
+
+describe('an entry that stops while a response lies unread', () => {
+  it('keeps the connection of a caller that writes again until it has read', async () => {
+    // Guards against a close in one step, at which what the caller writes resets the response.
+    const target = await startTarget(
+      `HTTP/1.1 200 OK\r\nContent-Length: ${PART.length}\r\n\r\n${PART}`,
+    );
+    const entry = await startShortEntry(cluster().platform.url, target);
+    const [host, port] = entry.address.split(':');
+    const request = 'GET /s/bundle/plan HTTP/1.1\r\nHost: a\r\n\r\n';
+    const socket = connect(Number(port), host);
+    closing.push(() => socket.destroy());
+    socket.on('error', () => {});
+    socket.pause();
+    socket.write(request);
+    await sleep(300);
+    const stopped = entry.stop();
+    await sleep(2 * GRACE_MS);
+    for (let i = 0; i < 2; i += 1) {
+      socket.write(request);
+      await sleep(50);
+    }
+    let received = '';
+    const ended = new Promise<void>((resolve) => {
+      socket.on('data', (bytes) => {
+        received += bytes.toString('latin1');
+      });
+      socket.on('close', () => resolve());
+    });
+    socket.resume();
+    await Promise.all([ended, stopped]);
+    expect(received.endsWith(PART)).toBe(true);
+  });
+});
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -11,7 +11,7 @@
 import type { AddressInfo } from 'node:net';
 import type { EntryAddress } from '@cardamomladder/callers';
 import type { Document } from '@cardamomladder/document';
-import { breakOff } from '@cardamomladder/http-json';
+import { ConnectionCloser, breakOff } from '@cardamomladder/http-json';
 import { createMemberClient } from '@cardamomladder/member-list';
 import { createKvClient } from '@cardamomladder/platform-kv';
 import type { EntrySettings } from '@cardamomladder/settings';
@@ -29,6 +29,9 @@
 /** Key prefix under which entries register themselves. */
 export const ENTRIES_PREFIX = 'cardamomladder/entries/';
 
+/** Time in which callers receive the last responses and close their connections at a stop, ms. */
+const MAX_CLOSE_MS = 2000;
+
 /** A running entry daemon. */
 export interface Entry {
   address: string;
@@ -67,6 +70,7 @@
   const random = options.random ?? Math.random;
 
   const server = createServer();
+  const closer = new ConnectionCloser(server);
   await new Promise<void>((resolve) => {
     server.listen(settings.listen.port, settings.listen.host, resolve);
   });
@@ -159,7 +163,7 @@
     const startedAt = Date.now();
     stopping = true;
     await registry.deregister();
-    server.close();
+    const closed = closer.closeAll(settings.drainGraceMs + MAX_CLOSE_MS);
     await Promise.race([
       Promise.allSettled([...inflight]),
       new Promise((resolve) => {
@@ -168,7 +172,7 @@
     ]);
     // A part of a response that ends with its connection would look whole after an orderly close.
     openResponses.forEach(breakOff);
-    server.closeAllConnections();
+    await closed;
     clearInterval(membersTimer);
     clearInterval(tickTimer);
     configSubscription.unsubscribe();
