--- a/packages/gateway/src/lifecycle/phase.ts
+++ b/packages/gateway/src/lifecycle/phase.ts
@@ -5,7 +5,7 @@
  * is killed, on the other hand, are better refused.
  *
  * - `serving`: all requests are accepted.
- * - `leaving`: not ready and removed from the directory; requests that can be answered
+ * - `leaving`: not ready and removed from the directory; requests that end in any case
  *   in the time that is left are served, others are rejected as not run, and each
  *   connection is closed after its last response.
  */
--- a/packages/steering/src/placement/__tests__/responseTail.test.ts
+++ b/packages/steering/src/placement/__tests__/responseTail.test.ts
@@ -1,4 +1,4 @@
-/** The estimate of the longest response time, which decides what a stopping instance still accepts. */
+/** The estimate of the longest delivery of an answer, for which a stopping instance refuses requests early. */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { seededRandom } from '@cardamomladder/load';
--- a/packages/steering/src/placement/responseTail.ts
+++ b/packages/steering/src/placement/responseTail.ts
@@ -1,5 +1,5 @@
 /**
- * Estimates the time within which nearly all requests of a kind are answered. The
+ * Estimates the time within which nearly all answers of a kind have been delivered. The
  * longest of a few responses is well below the longest of many, so it is extrapolated as
  * for an exponential tail: such a maximum grows with the logarithm of the number of
  * responses. Lighter tails are overestimated, and constant times are kept as they are.
