Don't charge a target the time for which its caller did not read

Cause: past the deadline, an answer went on only while its caller had something to take at each check, every 0.1 s. A target that had waited for its caller for most of its time lost the answer to the next pause of 0.1 s.

Change: the time for which the target had to wait for the caller does not count against its deadline. Silent targets are broken off as before.

Evidence: slowReaders.test.ts, without load: failed before (a part of the answer), passes; a pause of 3 s still ends the answer.

--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -41,7 +41,7 @@
 /** Until when a response may be relayed. */
 export interface RelayLimits {
   now: () => number;
-  /** The request's deadline, at which the target must have sent all of it; monotonic clock, ms. */
+  /** The request's deadline, at which the target must have sent all of it, the time for which it waited for the caller aside; monotonic clock, ms. */
   deadlineAt: number;
   /** The same for a caller that reads slowly what the target has declared. */
   deliveredBy: number;
@@ -75,9 +75,14 @@
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
     let release: (() => void) | undefined = remaining.release;
+    let heldSince = now();
+    /** Time for which the target had to wait for the caller, ms. */
+    let heldMs = 0;
     const letMoreArrive = () => {
-      release?.();
+      if (!release) return;
+      release();
       release = undefined;
+      heldMs += now() - heldSince;
     };
     const abort = () => {
       clearTimeout(timer);
@@ -96,13 +101,17 @@
         return;
       }
       hasWaitedForCaller = true;
-      release ??= readPacer.hold(message.socket);
+      if (release) return;
+      release = readPacer.hold(message.socket);
+      heldSince = now();
     };
     const checkDelivery = () => {
       const isLengthKnown = response.head.headers['content-length'] !== undefined;
       const isReadSlowly = isLengthKnown && (hasWaitedForCaller || res.writableNeedDrain);
       hasWaitedForCaller = false;
-      if (isReadSlowly && now() < deliveredBy) timer = setTimeout(checkDelivery, DELIVERY_CHECK_MS);
+      const isTargetInTime = isLengthKnown && now() < deadlineAt + heldMs;
+      if ((isReadSlowly || isTargetInTime) && now() < deliveredBy)
+        timer = setTimeout(checkDelivery, DELIVERY_CHECK_MS);
       else abort();
     };
     timer = setTimeout(checkDelivery, deadlineAt - now());
