Log and count what a stop refuses at its end; one refusal in one place

Uploads that were refused as the connections are closed had no line and were not counted; the refusal stood three times.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -62,6 +62,7 @@
         connections,
         closeConnections: (ms) => listeners.close(ms),
         graceMs,
+        metrics,
         log,
         now,
       });
--- a/packages/gateway/src/lifecycle/stop.ts
+++ b/packages/gateway/src/lifecycle/stop.ts
@@ -1,10 +1,12 @@
 /** Graceful shutdown, from the signal until no requests are in progress. */
 import type { BehaviorSubject } from 'rxjs';
 import type { Registration } from '@cardamomladder/fleet';
+import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import { sleep } from '@cardamomladder/types';
 import type { DecisionLog } from '../decisionLog';
-import type { CallerConnections } from '../server/callerConnections';
 import { describeProgress, giveUpAtStop, refuseUnsent } from '../requests/openRequests';
+import { STOPPING } from '../requests/responses';
+import type { CallerConnections, UnansweredRequest } from '../server/callerConnections';
 import type { Phase } from './phase';
 
 /** Part of the grace period that is kept for late timers and the last log lines, ms. */
@@ -36,6 +38,7 @@
   /** Closes all connections within a time in ms. */
   closeConnections: (ms: number) => Promise<void>;
   graceMs: number;
+  metrics: Pick<GatewayMetrics, 'rejections'>;
   log: DecisionLog;
   now: () => number;
 }
@@ -70,6 +73,16 @@
     ...describeProgress(res, now()),
   }));
 
+/** Refuses a request that no target has seen, and records that. */
+const refuseAtEnd = (
+  { metrics, log, now }: StopOptions,
+  { id, res, arrivedAt }: UnansweredRequest,
+): void => {
+  if (!refuseUnsent(res)) return;
+  metrics.rejections.inc({ reason: STOPPING });
+  log.write('rejected', id, { reason: STOPPING, waitedMs: Math.round(now() - arrivedAt) });
+};
+
 /** Leaves the directory, serves what can be answered in the grace period until no request comes, and closes the connections. */
 export const stopGracefully = async (options: StopOptions): Promise<void> => {
   const { phase, plannedEnd, signalledAt, registration, connections, graceMs, log, now } = options;
@@ -89,7 +102,7 @@
     open: describeOpen(options),
     ms: Math.round(now() - signalledAt),
   });
-  connections.unansweredRequests.forEach(({ res }) => refuseUnsent(res));
+  connections.unansweredRequests.forEach((request) => refuseAtEnd(options, request));
   const closingAt = now();
   const closeMs = processEndsAt(options) - closingAt;
   const timer = setTimeout(
--- a/packages/gateway/src/requests/destination.ts
+++ b/packages/gateway/src/requests/destination.ts
@@ -4,7 +4,8 @@
 import type { ForwardingPeer } from '../reach/forwardingPeers';
 import type { ReachableTarget } from '../targets/registry';
 import type { CallerRequest } from './callerRequest';
-import { STOPPING, endsInTime, remainingTime } from './remainingTime';
+import { endsInTime, remainingTime } from './remainingTime';
+import { STOPPING } from './responses';
 import type { RequestExecution } from './requestExecution';
 
 /** Where a request is sent. */
--- a/packages/gateway/src/requests/openRequests.ts
+++ b/packages/gateway/src/requests/openRequests.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { responsesBefore } from '../server/callerConnections';
 import type { RequestExecution } from './requestExecution';
-import { sendGatewayResponse } from './responses';
+import { refuseStopping } from './responses';
 
 const executions = new WeakMap<ServerResponse, RequestExecution>();
 
@@ -31,12 +31,13 @@
   };
 };
 
-/** Refuses a request as this process ends, if no target may have seen it. */
-export const refuseUnsent = (res: ServerResponse): void => {
+/** Refuses a request as this process ends, if no target may have seen it; returns whether it did. */
+export const refuseUnsent = (res: ServerResponse): boolean => {
   const execution = executionOf(res);
-  if (execution) execution.refuseUnsent();
-  else if (!res.headersSent)
-    sendGatewayResponse(res, { status: 503, message: 'not run: stopping', retryAfterMs: 0 });
+  if (execution) return execution.refuseUnsent();
+  if (res.headersSent) return false;
+  refuseStopping(res);
+  return true;
 };
 
 /** Gives up a request as this process ends, so that the answers behind it on its connection go out. */
--- a/packages/gateway/src/requests/remainingTime.ts
+++ b/packages/gateway/src/requests/remainingTime.ts
@@ -10,9 +10,6 @@
 import { executionOf } from './openRequests';
 import type { RequestExecution } from './requestExecution';
 
-/** Reason for rejecting a request that may not be complete before this process ends. */
-export const STOPPING = 'stopping';
-
 /** What ends a request in any case. */
 export type RequestEnd = Pick<CallerRequest, 'route' | 'deadlineAt' | 'callerLeavesAt'>;
 
--- a/packages/gateway/src/requests/requestExecution.ts
+++ b/packages/gateway/src/requests/requestExecution.ts
@@ -23,7 +23,7 @@
 import type { TargetRegistry } from '../targets/registry';
 import type { WireProtocol } from '../wireProtocol';
 import type { Admission } from './admission';
-import { sendGatewayResponse } from './responses';
+import { refuseStopping, sendGatewayResponse } from './responses';
 import type { CallerRequest } from './callerRequest';
 import { hasCallerLeft } from './callerRequest';
 import type { FairShares } from './fairShares';
@@ -31,7 +31,6 @@
 import type { ReadBarrier } from './readBarrier';
 import type { ConnectionLoss } from './lostConnection';
 import { recordCut, recordLostConnection } from './lostConnection';
-import { STOPPING } from './remainingTime';
 import type { ServiceRetries, Withdrawal } from './retryBudgets';
 
 /** Dependencies for handling requests, provided by the instance. */
@@ -112,7 +111,7 @@
   private withdrawal: Withdrawal | undefined;
 
   /** True once a send has ended without a statement that the request did not run. */
-  private hasRunPossibly = false;
+  private hasUnknownEnd = false;
 
   /** True once its answer only has to be delivered. */
   isAnswered = false;
@@ -225,12 +224,13 @@
     return withdrawal;
   }
 
+  /** True if a send before the one in progress may have run at its destination. */
   get mayHaveRun(): boolean {
-    return this.hasRunPossibly;
+    return this.hasUnknownEnd;
   }
 
   recordSendEnd({ kind }: AttemptOutcome): void {
-    if (kind !== 'not-run') this.hasRunPossibly = true;
+    if (kind !== 'not-run') this.hasUnknownEnd = true;
   }
 
   /** True if the send in progress may have reached its destination. */
@@ -277,14 +277,13 @@
     this.abort('cut');
   }
 
-  /** Refuses the request as this process ends, unless a target may have seen it. */
-  refuseUnsent(): void {
-    const { res, ctx, request } = this;
-    if (this.ended || this.mayHaveRun || this.hasConnected || res.headersSent) return;
-    ctx.metrics.rejections.inc({ reason: STOPPING });
-    ctx.log.write('rejected', request.id, { reason: STOPPING, sends: this.sends });
-    sendGatewayResponse(res, { status: 503, message: `not run: ${STOPPING}`, retryAfterMs: 0 });
+  /** Refuses the request as this process ends, unless a target may have seen it; returns whether it did. */
+  refuseUnsent(): boolean {
+    const { res } = this;
+    if (this.ended || this.mayHaveRun || this.hasConnected || res.headersSent) return false;
+    refuseStopping(res);
     this.abort('rejected');
+    return true;
   }
 
   /**
--- a/packages/gateway/src/requests/responses.ts
+++ b/packages/gateway/src/requests/responses.ts
@@ -177,3 +177,10 @@
   res.writeHead(response.status, headers);
   res.end(body);
 };
+
+/** Reason for rejecting a request that may not be complete before this process ends. */
+export const STOPPING = 'stopping';
+
+/** Rejects a request for that reason; its caller may go to another instance at once. */
+export const refuseStopping = (res: ServerResponse): void =>
+  sendGatewayResponse(res, { status: 503, message: `not run: ${STOPPING}`, retryAfterMs: 0 });
--- a/packages/gateway/src/server/rejections.ts
+++ b/packages/gateway/src/server/rejections.ts
@@ -7,9 +7,8 @@
 import type { GatewayMetrics } from '@cardamomladder/telemetry';
 import type { DecisionLog } from '../decisionLog';
 import type { Quotas } from '../quota/quotas';
-import { sendGatewayResponse } from '../requests/responses';
+import { STOPPING, refuseStopping, sendGatewayResponse } from '../requests/responses';
 import type { RemainingTime } from '../requests/remainingTime';
-import { STOPPING } from '../requests/remainingTime';
 import { requestIdOf } from '../requests/callerRequest';
 import type { WireProtocol } from '../wireProtocol';
 
@@ -51,7 +50,7 @@
     stopping: (res: ServerResponse, id: string, route: Route, remaining: RemainingTime): void => {
       metrics.rejections.inc({ reason: STOPPING });
       log.write('rejected', id, { reason: STOPPING, route: route.name, ...remaining });
-      sendGatewayResponse(res, { status: 503, message: `not run: ${STOPPING}`, retryAfterMs: 0 });
+      refuseStopping(res);
     },
     /** The request is malformed (400), or its body is (400, 408, 413, 431). */
     malformed: (
