--- a/packages/gateway/src/requests/openRequests.ts
+++ b/packages/gateway/src/requests/openRequests.ts
@@ -1,6 +1,6 @@
 /** Finds the execution behind a response that is not complete. */
 import type { ServerResponse } from 'node:http';
-import { responsesBefore } from '../server/callerConnections';
+import { responsesBefore, responsesBehind } from '../server/callerConnections';
 import type { RequestExecution } from './requestExecution';
 import { refuseStopping } from './responses';
 
@@ -40,5 +40,8 @@
   return true;
 };
 
-/** Gives up a request as this process ends, so that the answers behind it on its connection go out. */
-export const giveUpAtStop = (res: ServerResponse): void => executionOf(res)?.giveUpAtStop();
+/** Gives up a request as this process ends, if answers behind it on its connection can go out then. */
+export const giveUpAtStop = (res: ServerResponse): void => {
+  if (responsesBehind(res).some(({ writableEnded }) => writableEnded))
+    executionOf(res)?.giveUpAtStop();
+};
--- a/packages/gateway/src/server/callerConnections.ts
+++ b/packages/gateway/src/server/callerConnections.ts
@@ -44,6 +44,12 @@
   return unanswered.slice(0, Math.max(0, unanswered.indexOf(res)));
 };
 
+/** The responses that go out behind this one on its connection, and are not complete. */
+export const responsesBehind = (res: ServerResponse): ServerResponse[] => {
+  const unanswered = [...((res.req.socket as CallerSocket).unanswered ?? [])];
+  return unanswered.slice(unanswered.indexOf(res) + 1);
+};
+
 /** A request whose response is not complete. */
 export interface UnansweredRequest {
   id: string | undefined;
