Test of a stopping entry: callers that are refused ask again

Change: a caller that is refused asks again, as it is told to; the entry must know both targets of the service by their new address, so that no caller gets the 2 MiB of the layout's own target. The same three callers, the same expectation on each.

--- a/packages/cli/src/__tests__/stopBehindPart.test.ts
+++ b/packages/cli/src/__tests__/stopBehindPart.test.ts
@@ -10,6 +10,8 @@
 
 const PART = 'x'.repeat(1000);
 const CALLERS = 3;
+/** Targets of the service `bundle` in the tiny layout, whose slots the callers need together. */
+const BUNDLES = 2;
 const GRACE_MS = 200;
 
 const cluster = useCluster({ memberLagMs: 200 });
@@ -46,35 +48,44 @@
   if (settings.isErr()) throw settings.error;
   const entry = await startEntry(settings.value);
   await entry.ready();
-  const isKnown = () =>
-    [...(entry.fleet.services.get(serviceName('bundle'))?.targets.values() ?? [])].some(
-      ({ address }) => address === target,
-    );
+  const isKnown = () => {
+    const targets = [...(entry.fleet.services.get(serviceName('bundle'))?.targets.values() ?? [])];
+    return targets.length === BUNDLES && targets.every(({ address }) => address === target);
+  };
   while (!isKnown()) await sleep(50);
   return entry;
 };
 
+/** Sends a request of HTTP/1.0, again while it is refused; resolves once a part of the response is there. */
+const receivePart = async (port: number, host: string): Promise<{ ended: Promise<string> }> => {
+  const socket = connect(port, host);
+  const ended = new Promise<string>((resolve) => {
+    socket.on('end', () => resolve('end'));
+    socket.on('error', () => resolve('reset'));
+  });
+  const hasPart = new Promise<boolean>((resolve) => {
+    let received = '';
+    socket.on('data', (bytes) => {
+      received += bytes.toString('latin1');
+      if (received.includes(PART)) resolve(true);
+    });
+    socket.on('close', () => resolve(false));
+  });
+  socket.write('GET /s/bundle/plan HTTP/1.0\r\n\r\n');
+  if (await hasPart) return { ended };
+  await sleep(100);
+  return receivePart(port, host);
+};
+
 describe('an entry that stops while a target has not ended a response without a length', () => {
   it('resets the connection of a caller of HTTP/1.0', async () => {
     // Guards against an orderly end behind a part, which makes it look whole.
     const target = await startTarget(`HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n${PART}`);
     const entry = await startShortEntry(cluster().platform.url, target);
     const [host, port] = entry.address.split(':');
-    const callers = Array.from({ length: CALLERS }, () => {
-      const socket = connect(Number(port), host);
-      socket.write('GET /s/bundle/plan HTTP/1.0\r\n\r\n');
-      const begun = new Promise<void>((resolve) => {
-        socket.on('data', (bytes) => {
-          if (bytes.includes(PART)) resolve();
-        });
-      });
-      const ended = new Promise<string>((resolve) => {
-        socket.on('end', () => resolve('end'));
-        socket.on('error', () => resolve('reset'));
-      });
-      return { begun, ended };
-    });
-    await Promise.all(callers.map(({ begun }) => begun));
+    const callers = await Promise.all(
+      Array.from({ length: CALLERS }, () => receivePart(Number(port), host)),
+    );
     await entry.stop();
     expect(await Promise.all(callers.map(({ ended }) => ended))).toEqual(
       callers.map(() => 'reset'),
